--- a/src/commands/check_command.cc
+++ b/src/commands/check_command.cc
@@ -5,6 +5,7 @@
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 #include "src/tables/action_ledger.h"
 #include "src/tables/list_edits.h"
@@ -59,6 +60,15 @@
   return CheckKey(outcome);
 }
 
+std::optional<Refusal> Check(const PutRoutes& put) {
+  const std::vector<std::string> errors = CheckRoutes(put.table);
+  if (errors.empty()) {
+    return std::nullopt;
+  }
+  return Refuse(Reason::kBadRequest,
+                fmt::format("{}", fmt::join(errors, "; ")));
+}
+
 }  // namespace
 
 std::optional<Refusal> CheckCommand(const ControlCommand& command) {
--- a/src/commands/control_commands.h
+++ b/src/commands/control_commands.h
@@ -10,6 +10,7 @@
 #include "src/core/ids.h"
 #include "src/core/units.h"
 #include "src/core/verdict.h"
+#include "src/policy/routes.h"
 
 namespace marigold {
 
@@ -115,8 +116,20 @@
   }
 };
 
+// Puts a route table in force unless one with this or a higher version is.
+struct PutRoutes {
+  RouteTable table;
+  // The table as its writer sent it, for reading back.
+  std::string document;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->table, this->document);
+  }
+};
+
 using ControlCommand =
-    std::variant<PutRows, ClaimAction, ReleaseClaim, RecordOutcome>;
+    std::variant<PutRows, ClaimAction, ReleaseClaim, RecordOutcome, PutRoutes>;
 
 // The first answer to an edit; resends of its change id get the same.
 struct PutRowsOutcome {
@@ -183,8 +196,23 @@
   }
 };
 
-using ControlOutcome =
-    std::variant<PutRowsOutcome, ClaimOutcome, ReleaseOutcome, RecordResult>;
+struct PutRoutesOutcome {
+  // False if the version in force was not lower; then nothing has changed.
+  bool changed = false;
+  // The version in force afterwards.
+  RouteVersion version;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->changed, this->version);
+  }
+};
+
+using ControlOutcome = std::variant<PutRowsOutcome,
+                                    ClaimOutcome,
+                                    ReleaseOutcome,
+                                    RecordResult,
+                                    PutRoutesOutcome>;
 
 template <>
 inline constexpr std::uint64_t kEnumValues<ListKind> = 2;
--- a/src/core/clock.cc
+++ b/src/core/clock.cc
@@ -1,12 +1,18 @@
 #include "src/core/clock.h"
 
 #include <chrono>
+#include <ctime>
 
 namespace marigold {
 
+// Counts the time in which the VM was suspended, so that a lease does not
+// outlast a suspension.
 MonotonicTime SystemClock::Now() const {
-  const auto since_boot = std::chrono::steady_clock::now().time_since_epoch();
-  return MonotonicTime(std::chrono::duration_cast<Duration>(since_boot));
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return MonotonicTime(std::chrono::duration_cast<Duration>(
+      std::chrono::seconds(now.tv_sec) +
+      std::chrono::nanoseconds(now.tv_nsec)));
 }
 
 WallTime SystemClock::WallNow() const {
--- a/src/core/ids.h
+++ b/src/core/ids.h
@@ -73,6 +73,10 @@
 using LogIndex = detail::NumericId<struct LogIndexTag>;
 // Number of accepted edits of a list.
 using ListVersion = detail::NumericId<struct ListVersionTag>;
+// A route of the route table, for logs.
+using RouteName = detail::StringId<struct RouteNameTag>;
+// Chosen by whoever writes the route table; the highest one is in force.
+using RouteVersion = detail::NumericId<struct RouteVersionTag>;
 // Random; identifies one claim of an idempotency key and permits one send.
 using ClaimToken = detail::NumericId<struct ClaimTokenTag>;
 
--- a/src/core/lock_rank.h
+++ b/src/core/lock_rank.h
@@ -9,6 +9,7 @@
   kControlDriver = 10,
   kControlState = 20,
   kSubscribers = 30,
+  kListing = 35,
   kListTable = 40,
   kAdmission = 50,
   kShares = 60,
--- a/src/net/control_client.cc
+++ b/src/net/control_client.cc
@@ -23,8 +23,12 @@
 struct ControlClient::Impl : std::enable_shared_from_this<Impl> {
   Impl(WorkerPool& pool,
        ListTable& list_table,
+       ListingTable& listing_table,
        ControlClientSettings client_settings)
-      : settings(std::move(client_settings)), table(list_table), queue(pool) {}
+      : settings(std::move(client_settings)),
+        table(list_table),
+        listing(listing_table),
+        queue(pool) {}
 
   void MakeParts(WorkerPool& pool) {
     const auto on_progress = [weak = this->weak_from_this()] {
@@ -35,8 +39,9 @@
     this->sharing = std::make_shared<ListSharing>(
         pool, this->queue, this->table, this->settings, on_progress);
     if (!this->settings.controls.empty()) {
-      this->stream = std::make_shared<ListStream>(
-          pool, this->queue, this->table, this->settings, on_progress);
+      this->stream = std::make_shared<ListStream>(pool, this->queue,
+                                                  this->table, this->listing,
+                                                  this->settings, on_progress);
       this->sender = std::make_shared<CommandSender>(pool, this->queue,
                                                      this->settings.controls);
     }
@@ -97,6 +102,7 @@
 
   const ControlClientSettings settings;
   ListTable& table;
+  ListingTable& listing;
   SerialQueue queue;
   SystemClock clock;
   std::shared_ptr<ListSharing> sharing;
@@ -110,9 +116,11 @@
 
 ControlClient::ControlClient(WorkerPool& worker_pool,
                              ListTable& list_table,
+                             ListingTable& listing_table,
                              ControlClientSettings client_settings)
     : impl(std::make_shared<Impl>(worker_pool,
                                   list_table,
+                                  listing_table,
                                   std::move(client_settings))) {
   this->impl->MakeParts(worker_pool);
 }
--- a/src/net/control_client.h
+++ b/src/net/control_client.h
@@ -11,6 +11,7 @@
 #include "src/core/settings_values.h"
 #include "src/net/worker_pool.h"
 #include "src/tables/list_table.h"
+#include "src/tables/listing_table.h"
 
 namespace marigold {
 
@@ -42,6 +43,7 @@
  public:
   ControlClient(WorkerPool& worker_pool,
                 ListTable& list_table,
+                ListingTable& listing_table,
                 ControlClientSettings client_settings);
   ~ControlClient();
 
--- a/src/net/control_driver.cc
+++ b/src/net/control_driver.cc
@@ -238,6 +238,15 @@
   this->impl->Post(detail::ReadInput{std::move(done)});
 }
 
+void ControlDriver::Broadcast(const ControlMessage& message) {
+  const std::string body = EncodeControlMessage(message);
+  for (const Member& member : this->impl->table.Status().membership.members) {
+    if (member.address != this->impl->settings.address) {
+      this->impl->links->Send(member.address, body);
+    }
+  }
+}
+
 void ControlDriver::Drain(std::function<void()> on_drained) {
   this->impl->Post(detail::DrainInput{std::move(on_drained)});
 }
--- a/src/net/control_driver.h
+++ b/src/net/control_driver.h
@@ -99,6 +99,8 @@
                      std::function<void(MembersAnswer)> done);
   // Finds out whether the table is up to date, and then calls `done`.
   void ConfirmRead(std::function<void(ReadAnswer)> done);
+  // Sends a message to all other members that are reachable.
+  void Broadcast(const ControlMessage& message);
   // Refuses new commands, and calls `on_drained` once none is in the log
   // without an answer.
   void Drain(std::function<void()> on_drained);
--- a/src/net/control_server.cc
+++ b/src/net/control_server.cc
@@ -34,11 +34,13 @@
   ControlSession(const std::shared_ptr<FramedConnection>& framed,
                  std::shared_ptr<ControlDriver> control_driver,
                  std::shared_ptr<SubscriberHub> subscriber_hub,
-                 const ControlTable& control_table)
+                 const ControlTable& control_table,
+                 ListingTable& listing_table)
       : connection(framed),
         driver(std::move(control_driver)),
         hub(std::move(subscriber_hub)),
-        table(control_table) {}
+        table(control_table),
+        listing(listing_table) {}
 
   void Start(const std::shared_ptr<FramedConnection>& framed) {
     FramedHandlers handlers;
@@ -118,6 +120,7 @@
         ListUpdate update = table.WholeUpdate();
         reply.index = update.to;
         reply.whole = std::move(update.whole);
+        reply.routes = std::move(update.routes);
       }
       SendTo(weak, std::move(reply));
     });
@@ -144,6 +147,15 @@
         });
   }
 
+  void On(ListingUpdate& update) {
+    this->listing.Take(std::move(update.servers),
+                       this->clock.Now() - update.age);
+  }
+
+  void On(ListingConfirmed& confirmed) {
+    this->listing.Confirm(confirmed.listing, this->clock.Now() - confirmed.age);
+  }
+
   // Messages that only this side sends.
   template <class Message>
   void On(Message&) {
@@ -162,6 +174,7 @@
   const std::shared_ptr<ControlDriver> driver;
   const std::shared_ptr<SubscriberHub> hub;
   const ControlTable& table;
+  ListingTable& listing;
   SystemClock clock;
   MonotonicTime answered_at;
 };
@@ -177,7 +190,8 @@
     const Endpoint& endpoint,
     std::shared_ptr<ControlDriver> driver,
     std::shared_ptr<SubscriberHub> hub,
-    const ControlTable& table) {
+    const ControlTable& table,
+    ListingTable& listing) {
   FramedLimits limits;
   limits.silence_timeout = kSilenceTimeout;
   auto impl = std::make_unique<Impl>();
@@ -185,9 +199,10 @@
       impl->server,
       FramedServer::Listen(
           pool, endpoint, limits, kMostConnections,
-          [driver, hub,
-           &table](const std::shared_ptr<FramedConnection>& connection) {
-            std::make_shared<ControlSession>(connection, driver, hub, table)
+          [driver, hub, &table,
+           &listing](const std::shared_ptr<FramedConnection>& connection) {
+            std::make_shared<ControlSession>(connection, driver, hub, table,
+                                             listing)
                 ->Start(connection);
           }));
   return std::unique_ptr<ControlServer>(new ControlServer(std::move(impl)));
--- a/src/net/control_server.h
+++ b/src/net/control_server.h
@@ -18,13 +18,14 @@
 class ControlServer {
  public:
   // Listens on `endpoint`; fails with `IoError`. The driver, the hub and the
-  // table outlive the server's worker pool.
+  // tables outlive the server's worker pool.
   static Result<std::unique_ptr<ControlServer>> Listen(
       WorkerPool& pool,
       const Endpoint& endpoint,
       std::shared_ptr<ControlDriver> driver,
       std::shared_ptr<SubscriberHub> hub,
-      const ControlTable& table);
+      const ControlTable& table,
+      ListingTable& listing);
   ~ControlServer();
 
   ControlServer(const ControlServer&) = delete;
--- /dev/null
+++ b/src/net/forward/backend_link.cc
@@ -0,0 +1,334 @@
+#include "src/net/forward/backend_link.h"
+
+#include <algorithm>
+#include <boost/asio/write.hpp>
+#include <utility>
+
+#include "src/core/settings_values.h"
+
+namespace marigold {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr std::size_t kReadBytes = 4 * 1024;
+constexpr std::size_t kMostReplyBytes = 8 * 1024 * 1024;
+constexpr std::uint32_t kMostHeaderBytes = 64 * 1024;
+
+// A connect takes a few milliseconds; packets that are lost are sent again
+// after a second, for which no request waits.
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(250);
+
+// A late reply frees the link if it comes within this; a pause of a backend
+// server is shorter.
+constexpr Duration kAbandonTimeout = std::chrono::milliseconds(300);
+
+// Part of a server's idle timeout after which a link is not used any more.
+constexpr double kIdlePart = 0.8;
+
+// The whole seconds of "timeout=5" in a Keep-Alive field.
+std::optional<std::int64_t> KeepAliveSeconds(std::string_view field) {
+  const std::string_view name = "timeout=";
+  const std::size_t at = field.find(name);
+  if (at == std::string_view::npos) {
+    return std::nullopt;
+  }
+  const std::string_view rest = field.substr(at + name.size());
+  return ParseWholeNumber(rest.substr(0, rest.find_first_of(", ;")));
+}
+
+}  // namespace
+
+BackendLink::BackendLink(std::shared_ptr<Lane> owner, Events link_events)
+    : lane(std::move(owner)),
+      events(std::move(link_events)),
+      socket(lane->executor()) {}
+
+void BackendLink::Open(const Endpoint& endpoint, LinkExchange first) {
+  this->exchange = std::move(first);
+  ErrorCode error;
+  const auto address = asio::ip::make_address(endpoint.address, error);
+  if (error) {
+    this->lane->Post([self = this->shared_from_this()] {
+      self->Fail(SendFailure::kNotConnected);
+    });
+    return;
+  }
+  this->SetTimer(kConnectTimeout);
+  this->socket.async_connect(
+      tcp::endpoint(address, endpoint.port),
+      [self = this->shared_from_this()](const ErrorCode& failed) {
+        self->OnConnected(failed);
+      });
+}
+
+void BackendLink::OnConnected(const ErrorCode& error) {
+  if (this->state == State::kClosed) {
+    return;
+  }
+  if (error || !this->exchange) {
+    this->Fail(SendFailure::kNotConnected);
+    return;
+  }
+  ErrorCode ignored;
+  this->socket.set_option(tcp::no_delay(true), ignored);
+  this->socket.non_blocking(true, ignored);
+  LinkExchange first = std::move(*this->exchange);
+  this->Begin(std::move(first));
+}
+
+void BackendLink::Begin(LinkExchange next) {
+  if (this->timer) {
+    this->lane->Cancel(*this->timer);
+    this->timer.reset();
+  }
+  this->exchange = std::move(next);
+  this->state = State::kBusy;
+  this->is_written = false;
+  this->parser.emplace();
+  this->parser->eager(true);
+  this->parser->body_limit(kMostReplyBytes);
+  this->parser->header_limit(kMostHeaderBytes);
+  this->parser->skip(this->exchange->is_head);
+  this->Write();
+  this->AwaitBytes();
+}
+
+void BackendLink::Write() {
+  ErrorCode error;
+  const std::string& bytes = this->exchange->bytes;
+  const std::size_t sent = this->socket.write_some(asio::buffer(bytes), error);
+  if (!error && sent == bytes.size()) {
+    this->is_written = true;
+    return;
+  }
+  if (error && error != asio::error::would_block) {
+    // The reading side reports the end.
+    return;
+  }
+  auto rest = std::make_shared<std::string>(bytes.substr(sent));
+  asio::async_write(this->socket, asio::buffer(*rest),
+                    [self = this->shared_from_this(), rest](
+                        const ErrorCode& failed, std::size_t /*size*/) {
+                      self->OnWritten(failed);
+                    });
+}
+
+void BackendLink::OnWritten(const ErrorCode& error) {
+  if (!error) {
+    this->is_written = true;
+  }
+}
+
+void BackendLink::AwaitBytes() {
+  if (this->is_waiting || this->state == State::kClosed) {
+    return;
+  }
+  this->is_waiting = true;
+  this->socket.async_wait(
+      tcp::socket::wait_read,
+      [self = this->shared_from_this()](const ErrorCode& error) {
+        self->is_waiting = false;
+        self->OnReadable(error);
+      });
+}
+
+void BackendLink::OnReadable(const ErrorCode& error) {
+  if (this->state == State::kClosed) {
+    return;
+  }
+  if (error) {
+    this->OnEnded(error);
+    return;
+  }
+  if (this->Receive()) {
+    this->Parse();
+  }
+}
+
+bool BackendLink::Receive() {
+  while (true) {
+    ErrorCode error;
+    const std::size_t size =
+        this->socket.read_some(this->buffer.prepare(kReadBytes), error);
+    this->buffer.commit(size);
+    if (error == asio::error::would_block) {
+      return true;
+    }
+    if (error) {
+      this->OnEnded(error);
+      return false;
+    }
+    if (size < kReadBytes) {
+      return true;
+    }
+  }
+}
+
+void BackendLink::Parse() {
+  if (this->state == State::kFree || !this->parser) {
+    // Bytes that nobody asked for.
+    if (this->buffer.size() > 0) {
+      this->Close();
+    } else {
+      this->AwaitBytes();
+    }
+    return;
+  }
+  ErrorCode error;
+  while (this->buffer.size() > 0 && !this->parser->is_done()) {
+    this->buffer.consume(this->parser->put(this->buffer.data(), error));
+    if (error == http::error::need_more) {
+      break;
+    }
+    if (error) {
+      this->Fail(SendFailure::kBadAnswer);
+      return;
+    }
+  }
+  if (this->parser->is_done()) {
+    this->OnReply();
+  } else {
+    this->AwaitBytes();
+  }
+}
+
+void BackendLink::OnEnded(const ErrorCode& error) {
+  const bool was_free = this->state == State::kFree;
+  if (!was_free && error == asio::error::eof && this->parser) {
+    // Bytes that came with the end belong to the reply.
+    ErrorCode parse_error;
+    while (this->buffer.size() > 0 && !this->parser->is_done()) {
+      this->buffer.consume(this->parser->put(this->buffer.data(), parse_error));
+      if (parse_error) {
+        break;
+      }
+    }
+    if (!parse_error && this->parser->is_header_done() &&
+        !this->parser->is_done()) {
+      this->parser->put_eof(parse_error);
+    }
+    if (!parse_error && this->parser->is_done()) {
+      this->is_spoiled = true;
+      this->OnReply();
+      return;
+    }
+  }
+  this->Fail(SendFailure::kConnectionLost);
+}
+
+void BackendLink::OnReply() {
+  BackendReply reply = this->parser->release();
+  this->parser.reset();
+  const bool is_interim = reply.result_int() < 200;
+  const bool is_mine =
+      !is_interim && this->exchange && this->exchange->is_mine(reply);
+  if (!is_mine && this->socket.is_open()) {
+    // Of an interim reply the connection is as good as before.
+    this->is_spoiled = this->is_spoiled || !is_interim;
+    this->parser.emplace();
+    this->parser->eager(true);
+    this->parser->body_limit(kMostReplyBytes);
+    this->parser->header_limit(kMostHeaderBytes);
+    this->Parse();
+    return;
+  }
+  const bool is_reusable = is_mine && reply.keep_alive() &&
+                           this->buffer.size() == 0 && this->is_written &&
+                           !this->is_spoiled &&
+                           (reply.has_content_length() || reply.chunked() ||
+                            this->exchange->is_head);
+  this->NoteKeepAlive(reply);
+  const bool was_abandoned = this->state == State::kAbandoned;
+  if (this->timer) {
+    this->lane->Cancel(*this->timer);
+    this->timer.reset();
+  }
+  auto done = std::move(this->exchange->on_outcome);
+  this->exchange.reset();
+  const auto self = this->shared_from_this();
+  if (is_reusable) {
+    this->state = State::kFree;
+    this->free_since = this->lane->Now();
+    this->AwaitBytes();
+    this->events.on_free(self);
+  } else {
+    this->Close();
+  }
+  if (!was_abandoned && done) {
+    done(is_mine ? LinkOutcome(std::move(reply))
+                 : LinkOutcome(SendFailure::kBadAnswer));
+  }
+}
+
+void BackendLink::NoteKeepAlive(const BackendReply& reply) {
+  const auto field = reply[http::field::keep_alive];
+  if (const auto seconds =
+          KeepAliveSeconds(std::string_view(field.data(), field.size()))) {
+    this->idle_limit = Duration(static_cast<Duration::rep>(
+        static_cast<double>(Duration(std::chrono::seconds(*seconds)).count()) *
+        kIdlePart));
+  }
+}
+
+void BackendLink::Abandon() {
+  if (this->state == State::kConnecting) {
+    this->Close();
+    return;
+  }
+  if (this->state != State::kBusy) {
+    return;
+  }
+  this->state = State::kAbandoned;
+  this->exchange->on_outcome = nullptr;
+  this->SetTimer(kAbandonTimeout);
+}
+
+void BackendLink::SetTimer(Duration delay) {
+  this->timer = this->lane->At(this->lane->Now() + delay,
+                               [weak = this->weak_from_this()] {
+                                 if (const auto self = weak.lock()) {
+                                   self->timer.reset();
+                                   self->Fail(self->state == State::kConnecting
+                                                  ? SendFailure::kNotConnected
+                                                  : SendFailure::kTimeout);
+                                 }
+                               });
+}
+
+void BackendLink::Fail(SendFailure failure) {
+  std::function<void(LinkOutcome)> done;
+  if (this->exchange && this->state != State::kAbandoned) {
+    done = std::move(this->exchange->on_outcome);
+  }
+  this->exchange.reset();
+  this->Close();
+  if (done) {
+    done(failure);
+  }
+}
+
+void BackendLink::Close() {
+  if (this->state == State::kClosed) {
+    return;
+  }
+  this->state = State::kClosed;
+  if (this->timer) {
+    this->lane->Cancel(*this->timer);
+    this->timer.reset();
+  }
+  this->exchange.reset();
+  ErrorCode ignored;
+  this->socket.close(ignored);
+  this->events.on_closed(this->shared_from_this());
+}
+
+bool BackendLink::IsUsable(MonotonicTime now, Duration longest_idle) const {
+  return this->state == State::kFree &&
+         now - this->free_since < std::min(this->idle_limit, longest_idle);
+}
+
+}  // namespace marigold
--- /dev/null
+++ b/src/net/forward/backend_links.cc
@@ -0,0 +1,55 @@
+#include "src/net/forward/backend_links.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace marigold {
+
+std::shared_ptr<BackendLink> BackendLinks::Begin(ServerIndex server,
+                                                 const Endpoint& endpoint,
+                                                 Duration longest_idle,
+                                                 LinkExchange exchange) {
+  std::vector<LinkPtr>& candidates = this->free[server];
+  const MonotonicTime now = this->lane->Now();
+  while (!candidates.empty()) {
+    const LinkPtr link = std::move(candidates.back());
+    candidates.pop_back();
+    if (link->IsUsable(now, longest_idle)) {
+      link->Begin(std::move(exchange));
+      return link;
+    }
+    link->Close();
+  }
+  BackendLink::Events events;
+  events.on_free = [weak = this->weak_from_this(),
+                    server](const LinkPtr& link) {
+    if (const auto self = weak.lock()) {
+      self->free[server].push_back(link);
+    }
+  };
+  events.on_closed = [weak = this->weak_from_this(),
+                      server](const LinkPtr& link) {
+    if (const auto self = weak.lock()) {
+      --self->open;
+      std::erase(self->free[server], link);
+    }
+  };
+  auto link = std::make_shared<BackendLink>(this->lane, std::move(events));
+  ++this->open;
+  ++this->opened;
+  link->Open(endpoint, std::move(exchange));
+  return link;
+}
+
+void BackendLinks::Retire(ServerIndex server) {
+  const auto found = this->free.find(server);
+  if (found == this->free.end()) {
+    return;
+  }
+  for (const LinkPtr& link : std::exchange(found->second, {})) {
+    link->Close();
+  }
+  this->free.erase(server);
+}
+
+}  // namespace marigold
--- /dev/null
+++ b/src/net/forward/backend_links.h
@@ -0,0 +1,50 @@
+#ifndef SRC_NET_FORWARD_BACKEND_LINKS_H_
+#define SRC_NET_FORWARD_BACKEND_LINKS_H_
+
+#include <cstddef>
+#include <deque>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+#include "src/net/forward/backend_link.h"
+#include "src/policy/search_types.h"
+
+namespace marigold {
+
+// One lane's connections to all backend servers. A link is used by one exchange
+// at a time; the link that became free last is used first. Used only on the
+// lane.
+class BackendLinks : public std::enable_shared_from_this<BackendLinks> {
+ public:
+  explicit BackendLinks(std::shared_ptr<Lane> owner) : lane(std::move(owner)) {}
+
+  BackendLinks(const BackendLinks&) = delete;
+  BackendLinks& operator=(const BackendLinks&) = delete;
+
+  // Begins an exchange on a link that has been free for less than
+  // `longest_idle`, or on a new one. Gives the link that carries it.
+  std::shared_ptr<BackendLink> Begin(ServerIndex server,
+                                     const Endpoint& endpoint,
+                                     Duration longest_idle,
+                                     LinkExchange exchange);
+
+  // Closes the free links to a server that gets no new work.
+  void Retire(ServerIndex server);
+
+  // Links that are open or being opened.
+  std::size_t open_links() const { return this->open; }
+  std::size_t opened_links() const { return this->opened; }
+
+ private:
+  using LinkPtr = std::shared_ptr<BackendLink>;
+
+  std::shared_ptr<Lane> lane;
+  std::unordered_map<ServerIndex, std::vector<LinkPtr>> free;
+  std::size_t open = 0;
+  std::size_t opened = 0;
+};
+
+}  // namespace marigold
+
+#endif  // SRC_NET_FORWARD_BACKEND_LINKS_H_
--- /dev/null
+++ b/src/net/forward/caller_session.cc
@@ -0,0 +1,284 @@
+#include "src/net/forward/caller_session.h"
+
+#include <fmt/format.h>
+
+#include <boost/asio/write.hpp>
+#include <utility>
+
+namespace marigold {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr std::size_t kReadBytes = 4 * 1024;
+
+// A caller that was answered early may still send this much, so that it reads
+// the answer before a reset.
+constexpr std::size_t kMostDroppedBytes = 1024 * 1024;
+constexpr Duration kLingerTime = std::chrono::seconds(1);
+
+// For the whole body after the header.
+constexpr Duration kBodyTimeout = std::chrono::seconds(10);
+
+constexpr int kBadRequest = 400;
+constexpr int kRequestTimeout = 408;
+constexpr int kBodyTooLarge = 413;
+constexpr int kHeaderTooLarge = 431;
+
+constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+
+}  // namespace
+
+CallerSession::CallerSession(
+    std::shared_ptr<Lane> owner,
+    tcp::socket accepted,
+    std::shared_ptr<const CallerHandlers> caller_handlers,
+    std::shared_ptr<const LeavingFlags> leaving_flags)
+    : lane(std::move(owner)),
+      socket(std::move(accepted)),
+      handlers(std::move(caller_handlers)),
+      leaving(std::move(leaving_flags)) {}
+
+void CallerSession::Start() {
+  ErrorCode ignored;
+  this->socket.set_option(tcp::no_delay(true), ignored);
+  this->socket.non_blocking(true, ignored);
+  this->BeginRequest();
+}
+
+void CallerSession::BeginRequest() {
+  this->state = State::kIdle;
+  this->since = this->lane->Now();
+  this->limits = this->handlers->limits();
+  this->was_continued = false;
+  this->parser.emplace();
+  this->parser->eager(true);
+  this->parser->header_limit(
+      static_cast<std::uint32_t>(this->limits.header_bytes));
+  this->parser->body_limit(this->limits.body_bytes);
+  if (this->buffer.size() > 0) {
+    this->Parse();
+  } else if (this->has_ended) {
+    this->Close();
+  } else if (this->leaving->is_draining) {
+    this->CloseIfIdle();
+    this->AwaitBytes();
+  } else {
+    this->AwaitBytes();
+  }
+}
+
+void CallerSession::AwaitBytes() {
+  if (this->is_waiting || this->state == State::kClosed || this->has_ended) {
+    return;
+  }
+  this->is_waiting = true;
+  this->socket.async_wait(
+      tcp::socket::wait_read,
+      [self = this->shared_from_this()](const ErrorCode& error) {
+        self->is_waiting = false;
+        self->OnReadable(error);
+      });
+}
+
+void CallerSession::OnReadable(const ErrorCode& error) {
+  if (this->state == State::kClosed) {
+    return;
+  }
+  if (error || !this->Receive()) {
+    this->has_ended = true;
+    if (this->state == State::kHandling) {
+      this->handlers->on_gone(this->shared_from_this());
+    }
+    if (this->state != State::kWriting) {
+      this->Close();
+    }
+    return;
+  }
+  if (this->state == State::kLingering) {
+    this->dropped_bytes += this->buffer.size();
+    this->buffer.clear();
+    if (this->dropped_bytes > kMostDroppedBytes) {
+      this->Close();
+    } else {
+      this->AwaitBytes();
+    }
+    return;
+  }
+  if (this->state == State::kIdle || this->state == State::kReading) {
+    this->Parse();
+    return;
+  }
+  // The next request waits in the buffer, which does not grow further.
+}
+
+bool CallerSession::Receive() {
+  ErrorCode error;
+  const std::size_t size =
+      this->socket.read_some(this->buffer.prepare(kReadBytes), error);
+  this->buffer.commit(size);
+  return !error || error == asio::error::would_block;
+}
+
+void CallerSession::Parse() {
+  if (this->state == State::kIdle) {
+    this->state = State::kReading;
+    this->since = this->lane->Now();
+  }
+  ErrorCode error;
+  while (this->buffer.size() > 0 && !this->parser->is_done()) {
+    this->buffer.consume(this->parser->put(this->buffer.data(), error));
+    if (error == http::error::need_more) {
+      break;
+    }
+    if (error == http::error::header_limit) {
+      this->Refuse(kHeaderTooLarge, "the header is too large");
+      return;
+    }
+    if (error == http::error::body_limit) {
+      this->Refuse(kBodyTooLarge, "the body is too large");
+      return;
+    }
+    if (error) {
+      this->Refuse(kBadRequest, error.message());
+      return;
+    }
+  }
+  if (this->parser->is_done()) {
+    this->state = State::kHandling;
+    CallerRequest request = this->parser->release();
+    this->keeps_alive = request.keep_alive();
+    this->AwaitBytes();
+    this->handlers->on_request(this->shared_from_this(), std::move(request));
+    return;
+  }
+  if (this->parser->is_header_done() && !this->was_continued &&
+      this->parser->get()[http::field::expect] == "100-continue") {
+    this->was_continued = true;
+    // The send buffer is empty here, so the write does not block.
+    asio::write(this->socket, asio::buffer(kContinue), error);
+  }
+  this->AwaitBytes();
+}
+
+void CallerSession::Refuse(int status, std::string_view detail) {
+  const auto reason = http::obsolete_reason(static_cast<http::status>(status));
+  this->state = State::kHandling;
+  this->Answer(
+      fmt::format("HTTP/1.1 {} {}\r\nContent-Type: text/plain\r\n"
+                  "Content-Length: {}\r\nConnection: close\r\n\r\n{}",
+                  status, std::string_view(reason.data(), reason.size()),
+                  detail.size(), detail),
+      true);
+}
+
+void CallerSession::Answer(std::string bytes, bool ends_connection) {
+  if (this->state != State::kHandling) {
+    return;
+  }
+  this->state = State::kWriting;
+  this->since = this->lane->Now();
+  this->ends_after_write = ends_connection;
+  this->outgoing = std::move(bytes);
+  ErrorCode error;
+  const std::size_t sent =
+      this->socket.write_some(asio::buffer(this->outgoing), error);
+  if (!error && sent == this->outgoing.size()) {
+    this->OnWritten({});
+    return;
+  }
+  if (error && error != asio::error::would_block) {
+    this->Close();
+    return;
+  }
+  asio::async_write(this->socket, asio::buffer(this->outgoing) + sent,
+                    [self = this->shared_from_this()](const ErrorCode& failed,
+                                                      std::size_t /*size*/) {
+                      self->OnWritten(failed);
+                    });
+}
+
+void CallerSession::OnWritten(const ErrorCode& error) {
+  if (this->state == State::kClosed) {
+    return;
+  }
+  if (error) {
+    this->Close();
+  } else if (this->ends_after_write) {
+    this->Linger();
+  } else {
+    this->BeginRequest();
+  }
+}
+
+void CallerSession::Linger() {
+  ErrorCode ignored;
+  this->socket.shutdown(tcp::socket::shutdown_send, ignored);
+  if (this->has_ended) {
+    this->Close();
+    return;
+  }
+  this->state = State::kLingering;
+  this->since = this->lane->Now();
+  this->buffer.clear();
+  this->AwaitBytes();
+}
+
+void CallerSession::CloseIfIdle() {
+  ErrorCode error;
+  if (this->state == State::kIdle && this->buffer.size() == 0 &&
+      this->socket.available(error) == 0) {
+    this->Close();
+  }
+}
+
+void CallerSession::CheckTimeouts(MonotonicTime now) {
+  const Duration spent = now - this->since;
+  switch (this->state) {
+    case State::kIdle:
+      if (spent > this->limits.idle_timeout) {
+        this->CloseIfIdle();
+      }
+      return;
+    case State::kReading: {
+      const bool has_header = this->parser->is_header_done();
+      if (spent > (has_header ? this->limits.header_timeout + kBodyTimeout
+                              : this->limits.header_timeout)) {
+        this->Refuse(kRequestTimeout, "the request did not arrive in time");
+      }
+      return;
+    }
+    case State::kWriting:
+      if (spent > kBodyTimeout) {
+        this->Close();
+      }
+      return;
+    case State::kLingering:
+      if (spent > kLingerTime) {
+        this->Close();
+      }
+      return;
+    case State::kHandling:
+    case State::kClosed:
+      return;
+  }
+}
+
+bool CallerSession::MustClose() const {
+  return !this->keeps_alive || this->leaving->is_leaving;
+}
+
+void CallerSession::Close() {
+  if (this->state == State::kClosed) {
+    return;
+  }
+  this->state = State::kClosed;
+  ErrorCode ignored;
+  this->socket.close(ignored);
+  this->handlers->on_closed(this);
+}
+
+}  // namespace marigold
--- /dev/null
+++ b/src/net/forward/lane.h
@@ -0,0 +1,63 @@
+#ifndef SRC_NET_FORWARD_LANE_H_
+#define SRC_NET_FORWARD_LANE_H_
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <utility>
+
+#include "src/core/clock.h"
+#include "src/core/random.h"
+#include "src/core/units.h"
+#include "src/net/worker_pool.h"
+
+namespace marigold {
+
+// A sequence of handlers on the worker pool. The connections and requests of a
+// lane are used only by its handlers, which run one at a time, so that they
+// need no locks. One system timer serves all of a lane's times.
+class Lane : public std::enable_shared_from_this<Lane> {
+ public:
+  using Executor = boost::asio::strand<boost::asio::io_context::executor_type>;
+  using TimerKey = std::pair<MonotonicTime, std::uint64_t>;
+
+  explicit Lane(WorkerPool& pool);
+
+  Lane(const Lane&) = delete;
+  Lane& operator=(const Lane&) = delete;
+
+  const Executor& executor() const { return this->strand; }
+  MonotonicTime Now() const { return this->clock.Now(); }
+  SeededRandom& random() { return this->source; }
+
+  // Runs a function on the lane; called from any thread.
+  void Post(std::function<void()> task);
+
+  // The following are called on the lane.
+
+  // Runs a function once at the given time.
+  TimerKey At(MonotonicTime due, std::function<void()> task);
+  // Does nothing for a timer that has run.
+  void Cancel(const TimerKey& key);
+
+ private:
+  void Arm();
+  void OnTimer();
+
+  Executor strand;
+  boost::asio::steady_timer timer;
+  SystemClock clock;
+  SeededRandom source;
+  std::map<TimerKey, std::function<void()>> tasks;
+  std::uint64_t last_task = 0;
+  MonotonicTime armed_for = MonotonicTime::max();
+};
+
+}  // namespace marigold
+
+#endif  // SRC_NET_FORWARD_LANE_H_
--- a/src/net/http_message.h
+++ b/src/net/http_message.h
@@ -2,6 +2,8 @@
 #define SRC_NET_HTTP_MESSAGE_H_
 
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace marigold {
 
@@ -21,6 +23,8 @@
   std::string content_type = "application/json";
   // Closes the connection after the response.
   bool close = false;
+  // Further header fields.
+  std::vector<std::pair<std::string, std::string>> headers{};
 };
 
 }  // namespace marigold
--- a/src/net/list_sharing.cc
+++ b/src/net/list_sharing.cc
@@ -23,6 +23,7 @@
   reply.index = whole.to;
   if (request.have < reply.index) {
     reply.whole = std::move(whole.whole);
+    reply.routes = std::move(whole.routes);
   }
   return reply;
 }
@@ -105,8 +106,9 @@
   if (reply != nullptr) {
     this->highest_index = std::max(this->highest_index, reply->index);
     if (reply->whole) {
-      this->table.Apply(this->clock.Now(),
-                        {LogIndex(), reply->index, reply->whole, {}});
+      this->table.Apply(
+          this->clock.Now(),
+          {LogIndex(), reply->index, reply->whole, {}, reply->routes});
     }
   }
   this->on_progress();
--- a/src/net/list_stream.cc
+++ b/src/net/list_stream.cc
@@ -11,11 +11,13 @@
 ListStream::ListStream(WorkerPool& worker_pool,
                        SerialQueue serial_queue,
                        ListTable& list_table,
+                       ListingTable& listing_table,
                        const ControlClientSettings& client_settings,
                        std::function<void()> progress_handler)
     : pool(worker_pool),
       queue(std::move(serial_queue)),
       table(list_table),
+      listing(listing_table),
       settings(client_settings),
       on_progress(std::move(progress_handler)),
       choice(client_settings.controls, SystemSeed()) {}
@@ -80,9 +82,9 @@
   if (from != this->connection) {
     return;
   }
-  const auto decoded =
+  auto decoded =
       Capture<ControlMessage>([&] { return DecodeControlMessage(body); });
-  const auto* message = std::get_if<ControlMessage>(&decoded);
+  auto* message = std::get_if<ControlMessage>(&decoded);
   if (message == nullptr) {
     this->choice.OnFailed(this->clock.Now(), this->current);
     this->connection->Close();
@@ -92,6 +94,8 @@
     this->OnUpdate(*update);
   } else if (const auto* heartbeat = std::get_if<StreamHeartbeat>(message)) {
     this->OnHeartbeat(*heartbeat);
+  } else if (auto* listed = std::get_if<ListingUpdate>(message)) {
+    this->OnListing(std::move(*listed));
   }
 }
 
@@ -105,8 +109,20 @@
   this->on_progress();
 }
 
+void ListStream::OnListing(ListingUpdate update) {
+  this->listing.Take(std::move(update.servers), this->clock.Now() - update.age);
+  this->on_progress();
+}
+
 void ListStream::OnHeartbeat(const StreamHeartbeat& heartbeat) {
   const MonotonicTime now = this->clock.Now();
+  for (const Endpoint& control : heartbeat.controls) {
+    this->choice.Learn(control);
+  }
+  if (heartbeat.listing_age) {
+    this->listing.Confirm(heartbeat.listing, now - *heartbeat.listing_age);
+  }
+  this->listing.SetShare(Fraction(heartbeat.share));
   if (heartbeat.has_quorum) {
     this->choice.OnGood(this->current);
     this->confirmed_index = heartbeat.index;
--- a/src/net/list_stream.h
+++ b/src/net/list_stream.h
@@ -12,6 +12,7 @@
 #include "src/net/serial_queue.h"
 #include "src/policy/control_choice.h"
 #include "src/tables/list_table.h"
+#include "src/tables/listing_table.h"
 #include "src/wire/control_messages.h"
 
 namespace marigold {
@@ -25,6 +26,7 @@
   ListStream(WorkerPool& worker_pool,
              SerialQueue serial_queue,
              ListTable& list_table,
+             ListingTable& listing_table,
              const ControlClientSettings& client_settings,
              std::function<void()> progress_handler);
 
@@ -46,6 +48,7 @@
   void Connect(const Endpoint& endpoint);
   void OnBody(const ConnectionPtr& from, const std::string& body);
   void OnUpdate(const ListUpdate& update);
+  void OnListing(ListingUpdate update);
   void OnHeartbeat(const StreamHeartbeat& heartbeat);
   void OnClosed(const ConnectionPtr& closed, CloseReason reason);
   void Subscribe(LogIndex have);
@@ -55,6 +58,7 @@
   WorkerPool& pool;
   SerialQueue queue;
   ListTable& table;
+  ListingTable& listing;
   const ControlClientSettings& settings;
   std::function<void()> on_progress;
   SystemClock clock;
--- /dev/null
+++ b/src/net/listing_poller.h
@@ -0,0 +1,79 @@
+#ifndef SRC_NET_LISTING_POLLER_H_
+#define SRC_NET_LISTING_POLLER_H_
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <utility>
+
+#include "src/net/listing_reader.h"
+#include "src/tables/listing_table.h"
+
+namespace marigold {
+
+// Reads the platform's list into the listing table whenever `is_due` says so.
+template <ListingCodec Codec>
+class ListingPoller
+    : public std::enable_shared_from_this<ListingPoller<Codec>> {
+ public:
+  // Takes the time of the last attempt of this process to read the list.
+  using IsDue =
+      std::function<bool(MonotonicTime now, MonotonicTime last_attempt)>;
+  // Called after a read with whether the rows changed.
+  using OnTaken = std::function<void(bool changed)>;
+
+  ListingPoller(WorkerPool& pool,
+                const Endpoint& platform,
+                ListingTable& listing_table,
+                IsDue due_decision,
+                OnTaken taken_handler)
+      : queue(pool),
+        reader(std::make_shared<ListingReader<Codec>>(pool, queue, platform)),
+        table(listing_table),
+        is_due(std::move(due_decision)),
+        on_taken(std::move(taken_handler)) {}
+
+  ListingPoller(const ListingPoller&) = delete;
+  ListingPoller& operator=(const ListingPoller&) = delete;
+
+  void Start() {
+    this->queue.Post([self = this->shared_from_this()] { self->Tick(); });
+  }
+
+ private:
+  static constexpr Duration kTickInterval = std::chrono::milliseconds(200);
+
+  void Tick() {
+    const MonotonicTime now = this->clock.Now();
+    if (!this->reader->is_reading() && this->is_due(now, this->last_attempt)) {
+      this->last_attempt = now;
+      this->reader->Read(
+          [weak = this->weak_from_this()](std::optional<Listing> listing) {
+            const auto self = weak.lock();
+            if (self && listing) {
+              self->on_taken(self->table.Take(std::move(listing->servers),
+                                              listing->observed_at));
+            }
+          });
+    }
+    this->timer =
+        this->queue.After(kTickInterval, [weak = this->weak_from_this()] {
+          if (const auto self = weak.lock()) {
+            self->Tick();
+          }
+        });
+  }
+
+  SerialQueue queue;
+  std::shared_ptr<ListingReader<Codec>> reader;
+  ListingTable& table;
+  IsDue is_due;
+  OnTaken on_taken;
+  SystemClock clock;
+  MonotonicTime last_attempt{};
+  TimerHandle timer;
+};
+
+}  // namespace marigold
+
+#endif  // SRC_NET_LISTING_POLLER_H_
--- /dev/null
+++ b/src/net/listing_reader.h
@@ -0,0 +1,180 @@
+#ifndef SRC_NET_LISTING_READER_H_
+#define SRC_NET_LISTING_READER_H_
+
+#include <concepts>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "src/core/clock.h"
+#include "src/core/log.h"
+#include "src/core/result.h"
+#include "src/net/http_client.h"
+#include "src/net/serial_queue.h"
+#include "src/policy/listing.h"
+
+namespace marigold {
+
+// One page of the platform's list.
+struct ListingPage {
+  std::vector<ListedServer> servers;
+  // Entries that could not be read; they name no server to use.
+  std::size_t unreadable = 0;
+  // Empty on the last page.
+  std::string next_token;
+};
+
+// Translates the platform's list; decides nothing.
+template <class T>
+concept ListingCodec = requires(std::string_view text) {
+  { T::Target(text) } -> std::same_as<std::string>;
+  { T::Decode(text) } -> std::same_as<Result<ListingPage>>;
+};
+
+// Reads the platform's list page by page, one read at a time. All calls are
+// made on the queue.
+template <ListingCodec Codec>
+class ListingReader
+    : public std::enable_shared_from_this<ListingReader<Codec>> {
+ public:
+  // Called with the whole list, or nothing if it could not be read.
+  using OnRead = std::function<void(std::optional<Listing>)>;
+
+  ListingReader(WorkerPool& worker_pool,
+                SerialQueue serial_queue,
+                Endpoint platform)
+      : pool(worker_pool),
+        queue(std::move(serial_queue)),
+        endpoint(std::move(platform)) {}
+
+  ListingReader(const ListingReader&) = delete;
+  ListingReader& operator=(const ListingReader&) = delete;
+
+  // Does nothing while a read is in progress.
+  void Read(OnRead done) {
+    if (this->on_read) {
+      return;
+    }
+    this->on_read = std::move(done);
+    this->listing = {};
+    this->listing.observed_at = this->clock.Now();
+    this->unreadable = 0;
+    this->pages = 0;
+    if (this->connection && this->connection->is_reusable()) {
+      this->ReadPage("");
+    } else {
+      this->Connect();
+    }
+  }
+
+  bool is_reading() const { return this->on_read != nullptr; }
+
+ private:
+  static constexpr Duration kTimeout = std::chrono::milliseconds(800);
+  static constexpr std::size_t kMostPages = 1'000;
+  static constexpr int kOk = 200;
+
+  void Connect() {
+    this->connection =
+        std::make_shared<HttpConnection>(this->pool, this->endpoint);
+    this->connection->Connect(
+        kTimeout, this->OnQueue<bool>([](ListingReader& self, bool connected) {
+          if (connected) {
+            self.ReadPage("");
+          } else {
+            self.Fail("not connected");
+          }
+        }));
+  }
+
+  void ReadPage(std::string_view token) {
+    this->connection->Exchange(
+        HttpMethod::kGet, Codec::Target(token), "", kTimeout,
+        this->OnQueue<ExchangeOutcome>(
+            [](ListingReader& self, const ExchangeOutcome& outcome) {
+              self.OnPage(outcome);
+            }));
+  }
+
+  void OnPage(const ExchangeOutcome& outcome) {
+    const auto* response = std::get_if<HttpResponse>(&outcome);
+    if (response == nullptr || response->status != kOk) {
+      this->Fail(response == nullptr
+                     ? "no response"
+                     : "status " + std::to_string(response->status));
+      return;
+    }
+    auto decoded =
+        Capture<ListingPage>([&] { return Codec::Decode(response->body); });
+    auto* page = std::get_if<ListingPage>(&decoded);
+    if (page == nullptr) {
+      this->Fail(ToString(std::get<AnyError>(decoded)));
+      return;
+    }
+    this->listing.servers.insert(this->listing.servers.end(),
+                                 page->servers.begin(), page->servers.end());
+    this->unreadable += page->unreadable;
+    if (page->next_token.empty() || ++this->pages >= kMostPages) {
+      this->Finish();
+    } else {
+      this->ReadPage(page->next_token);
+    }
+  }
+
+  void Finish() {
+    if (this->unreadable != this->reported_unreadable) {
+      this->reported_unreadable = this->unreadable;
+      LogEvent(LogLevel::kInfo, "listing_entries_unreadable",
+               {{"entries", this->unreadable},
+                {"readable", this->listing.servers.size()}});
+    }
+    if (std::exchange(this->is_failing, false)) {
+      LogEvent(LogLevel::kInfo, "listing_regained",
+               {{"servers", this->listing.servers.size()}});
+    }
+    std::exchange(this->on_read, nullptr)(std::move(this->listing));
+  }
+
+  void Fail(const std::string& cause) {
+    if (!std::exchange(this->is_failing, true)) {
+      LogEvent(LogLevel::kWarning, "listing_lost", {{"cause", cause}});
+    }
+    std::exchange(this->on_read, nullptr)(std::nullopt);
+  }
+
+  // A callback that may run on any worker and goes on on the queue.
+  template <class Argument, class Body>
+  std::function<void(Argument)> OnQueue(Body body) {
+    return [weak = this->weak_from_this(), serial = this->queue,
+            body](Argument argument) {
+      serial.Post([weak, body, argument = std::move(argument)] {
+        const auto self = weak.lock();
+        if (self && self->on_read) {
+          body(*self, argument);
+        }
+      });
+    };
+  }
+
+  WorkerPool& pool;
+  SerialQueue queue;
+  Endpoint endpoint;
+  SystemClock clock;
+  std::shared_ptr<HttpConnection> connection;
+  OnRead on_read;
+  Listing listing;
+  std::size_t unreadable = 0;
+  std::size_t reported_unreadable = 0;
+  std::size_t pages = 0;
+  bool is_failing = false;
+};
+
+}  // namespace marigold
+
+#endif  // SRC_NET_LISTING_READER_H_
--- a/src/net/subscriber_hub.cc
+++ b/src/net/subscriber_hub.cc
@@ -1,5 +1,6 @@
 #include "src/net/subscriber_hub.h"
 
+#include <algorithm>
 #include <atomic>
 #include <map>
 #include <optional>
@@ -26,6 +27,8 @@
   // The index that it has once everything sent has arrived.
   LogIndex sent;
   bool wants_whole = false;
+  // The rows that were sent last.
+  ListingHash listing;
   // Counts its requests to subscribe.
   std::uint64_t request = 0;
   // What it said last, and when.
@@ -52,8 +55,12 @@
 struct SubscriberHub::Impl : std::enable_shared_from_this<Impl> {
   Impl(WorkerPool& worker_pool,
        const ControlTable& control_table,
+       const ListingTable& listing_table,
        Duration interval)
-      : pool(worker_pool), table(control_table), heartbeat_interval(interval) {}
+      : pool(worker_pool),
+        table(control_table),
+        listing(listing_table),
+        heartbeat_interval(interval) {}
 
   void SchedulePush(Duration delay) {
     if (this->is_push_scheduled.exchange(true)) {
@@ -142,10 +149,53 @@
     return false;
   }
 
-  void SendHeartbeats() {
+  StreamHeartbeat MakeHeartbeat() const {
     const ControlStatus status = this->table.Status();
-    const std::string body = EncodeControlMessage(
-        StreamHeartbeat{status.lists_index, status.has_quorum});
+    const ListingSummary listed = this->listing.Summary();
+    StreamHeartbeat heartbeat{status.lists_index, status.has_quorum};
+    heartbeat.listing = listed.hash;
+    if (listed.observed_at) {
+      heartbeat.listing_age = this->clock.Now() - *listed.observed_at;
+    }
+    for (const Member& member : status.membership.members) {
+      heartbeat.controls.push_back(member.address);
+    }
+    const RankedLock lock(this->mutex);
+    const std::size_t parts =
+        std::max<std::size_t>(heartbeat.controls.size(), 1) *
+        std::max<std::size_t>(this->subscribers.size(), 1);
+    heartbeat.share = 1.0 / static_cast<double>(parts);
+    return heartbeat;
+  }
+
+  // Sends the rows to those that were sent others, or none.
+  void PushListing() {
+    const ListingSummary listed = this->listing.Summary();
+    if (!listed.observed_at) {
+      return;
+    }
+    std::vector<std::shared_ptr<FramedConnection>> behind;
+    {
+      const RankedLock lock(this->mutex);
+      for (auto& [key, subscriber] : this->subscribers) {
+        if (subscriber.listing != listed.hash) {
+          subscriber.listing = listed.hash;
+          behind.push_back(subscriber.connection);
+        }
+      }
+    }
+    if (behind.empty()) {
+      return;
+    }
+    const std::string body = EncodeControlMessage(ListingUpdate{
+        *this->listing.Servers(), this->clock.Now() - *listed.observed_at});
+    for (const auto& connection : behind) {
+      connection->Send(body);
+    }
+  }
+
+  void SendHeartbeats() {
+    const std::string body = EncodeControlMessage(this->MakeHeartbeat());
     std::vector<std::shared_ptr<FramedConnection>> connections;
     {
       const RankedLock lock(this->mutex);
@@ -168,6 +218,7 @@
 
   WorkerPool& pool;
   const ControlTable& table;
+  const ListingTable& listing;
   const Duration heartbeat_interval;
   SystemClock clock;
   std::atomic<bool> is_push_scheduled = false;
@@ -179,8 +230,9 @@
 
 SubscriberHub::SubscriberHub(WorkerPool& pool,
                              const ControlTable& table,
+                             const ListingTable& listing,
                              Duration heartbeat_interval)
-    : impl(std::make_shared<Impl>(pool, table, heartbeat_interval)) {}
+    : impl(std::make_shared<Impl>(pool, table, listing, heartbeat_interval)) {}
 
 SubscriberHub::~SubscriberHub() = default;
 
@@ -205,9 +257,8 @@
   }
   LogEvent(LogLevel::kInfo, "subscribed",
            {{"vm", request.vm.value()}, {"have", request.have.value()}});
-  const ControlStatus status = this->impl->table.Status();
-  connection->Send(EncodeControlMessage(
-      StreamHeartbeat{status.lists_index, status.has_quorum}));
+  connection->Send(EncodeControlMessage(this->impl->MakeHeartbeat()));
+  this->impl->PushListing();
   this->impl->SchedulePush(Duration::zero());
 }
 
@@ -237,6 +288,10 @@
   }
 }
 
+void SubscriberHub::NotifyListingChanged() {
+  this->impl->PushListing();
+}
+
 void SubscriberHub::NotifyListsChanged() {
   this->impl->SchedulePush(kPushInterval);
 }
--- a/src/net/subscriber_hub.h
+++ b/src/net/subscriber_hub.h
@@ -9,16 +9,19 @@
 #include "src/net/worker_pool.h"
 #include "src/tables/control_status.h"
 #include "src/tables/control_table.h"
+#include "src/tables/listing_table.h"
 #include "src/wire/control_messages.h"
 
 namespace marigold {
 
 // The streams of the entry VMs that follow this control VM. Each gets the edits
-// after the index that it has, or the whole lists, and heartbeats.
+// after the index that it has, or the whole lists, the listing of backend
+// servers when it has changed, and heartbeats.
 class SubscriberHub {
  public:
   SubscriberHub(WorkerPool& pool,
                 const ControlTable& table,
+                const ListingTable& listing,
                 Duration heartbeat_interval);
   ~SubscriberHub();
 
@@ -37,6 +40,8 @@
   void OnClosed(const FramedConnection& connection);
   // The table's lists have changed.
   void NotifyListsChanged();
+  // The listing's rows have changed.
+  void NotifyListingChanged();
 
   // Queries.
 
--- a/src/net/worker_pool.cc
+++ b/src/net/worker_pool.cc
@@ -12,6 +12,8 @@
 #include <utility>
 #include <vector>
 
+#include "src/core/log.h"
+
 namespace marigold {
 
 namespace asio = boost::asio;
@@ -68,7 +70,12 @@
           if (error) {
             return;
           }
-          this->on_signal(number);
+          if (number == SIGHUP) {
+            LogEvent(LogLevel::kInfo, "reload",
+                     {{"changed", "nothing, settings are read at the start"}});
+          } else {
+            this->on_signal(number);
+          }
           this->AwaitSignal();
         });
   }
@@ -137,6 +144,8 @@
   this->impl->on_signal = std::move(on_signal);
   this->impl->signals.add(SIGTERM);
   this->impl->signals.add(SIGINT);
+  this->impl->signals.add(SIGHUP);
+  std::signal(SIGPIPE, SIG_IGN);
   this->impl->AwaitSignal();
 }
 
--- /dev/null
+++ b/src/policy/backend_directory.cc
@@ -0,0 +1,277 @@
+#include "src/policy/backend_directory.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace marigold {
+
+namespace {
+
+// Weight of the newest latency.
+constexpr double kSlownessWeight = 0.25;
+// A single sample counts at most this many times the typical latency.
+constexpr double kMostSlowness = 20;
+// What was observed of a server that gets no attempts loses half of its weight
+// in this time, so that a recovered server is tried again.
+constexpr Duration kSlownessHalfLife = std::chrono::seconds(4);
+// A starting server is this much slower.
+constexpr double kColdSlowness = 1.6;
+
+constexpr Duration kFirstBackoff = std::chrono::milliseconds(200);
+constexpr Duration kLongestBackoff = std::chrono::seconds(2);
+// A full server is asked again soon.
+constexpr Duration kFullBackoff = std::chrono::milliseconds(30);
+
+double Ratio(Duration part, Duration whole) {
+  return static_cast<double>(part.count()) /
+         static_cast<double>(std::max<std::int64_t>(whole.count(), 1));
+}
+
+}  // namespace
+
+std::string_view ToString(SendFailure failure) {
+  switch (failure) {
+    case SendFailure::kNotConnected:
+      return "not_connected";
+    case SendFailure::kNotExecuted:
+      return "not_executed";
+    case SendFailure::kOtherServer:
+      return "other_server";
+    case SendFailure::kConnectionLost:
+      return "connection_lost";
+    case SendFailure::kBadAnswer:
+      return "bad_answer";
+    case SendFailure::kServerError:
+      return "server_error";
+    case SendFailure::kTimeout:
+      return "timeout";
+  }
+  return "unknown";
+}
+
+bool SurelyNotRun(SendFailure failure) {
+  return failure == SendFailure::kNotConnected ||
+         failure == SendFailure::kNotExecuted ||
+         failure == SendFailure::kOtherServer;
+}
+
+std::vector<ServerIndex> BackendDirectory::Apply(
+    MonotonicTime now,
+    std::span<const ListedServer> listed) {
+  std::vector<bool> is_listed(this->servers.size() + listed.size() + 1);
+  std::vector<ServerIndex> retired;
+  for (const ListedServer& row : listed) {
+    const ServerIndex index = this->Adopt(now, row);
+    is_listed[index.value()] = true;
+    Server& server = this->At(index);
+    if (server.is_usable && row.is_draining) {
+      retired.push_back(index);
+    }
+    if (!server.is_usable && !row.is_draining) {
+      server.usable_since = now;
+    }
+    server.is_usable = !row.is_draining;
+  }
+  for (std::size_t i = 0; i < this->servers.size(); ++i) {
+    Server& server = this->servers[i];
+    if (server.is_usable && !is_listed[i + 1]) {
+      server.is_usable = false;
+      retired.push_back(ServerIndex(i + 1));
+    }
+  }
+  return retired;
+}
+
+ServerIndex BackendDirectory::Adopt(MonotonicTime now,
+                                    const ListedServer& listed) {
+  const auto [position, added] = this->index_by_key.try_emplace(
+      ServerKey{listed.server, listed.started_at_ms});
+  if (added) {
+    this->servers.emplace_back();
+    position->second = ServerIndex(this->servers.size());
+    Server& server = this->servers.back();
+    server.silent_since = now;
+    server.slowness_at = now;
+    this->services[listed.service].members.push_back(position->second);
+  }
+  Server& server = this->At(position->second);
+  if (!added && server.listed.service != listed.service) {
+    std::erase(this->services[server.listed.service].members, position->second);
+    this->services[listed.service].members.push_back(position->second);
+  }
+  server.listed = listed;
+  return position->second;
+}
+
+void BackendDirectory::OnRequest(MonotonicTime now, const ServiceId& service) {
+  this->services[service].retries.OnRequest(this->settings.retries, now);
+}
+
+bool BackendDirectory::TrySpendRetry(MonotonicTime now,
+                                     const ServiceId& service) {
+  return this->services[service].retries.TrySpend(this->settings.retries, now,
+                                                  this->share);
+}
+
+void BackendDirectory::AddLatency(const RouteName& route, Duration latency) {
+  this->latencies.try_emplace(route, kLatencyWindow).first->second.Add(latency);
+}
+
+void BackendDirectory::OnAnswer(MonotonicTime now,
+                                ServerIndex index,
+                                Duration latency,
+                                Duration expected,
+                                const std::optional<ReportedLoad>& load) {
+  Server& server = this->At(index);
+  if (expected > Duration::zero()) {
+    this->AddSlowness(now, server, Ratio(latency, expected));
+  }
+  server.silent_since = now;
+  server.backoff = Duration::zero();
+  server.avoid_until = MonotonicTime::min();
+  if (load) {
+    server.reported_load = load->running + load->waiting;
+    server.reported_at = now;
+  }
+  this->EndAttempt(server);
+}
+
+void BackendDirectory::OnFailure(MonotonicTime now,
+                                 ServerIndex index,
+                                 SendFailure failure) {
+  Server& server = this->At(index);
+  this->EndAttempt(server);
+  switch (failure) {
+    case SendFailure::kNotExecuted:
+      server.avoid_until = std::max(server.avoid_until, now + kFullBackoff);
+      return;
+    case SendFailure::kOtherServer:
+      server.avoid_until = now + kLongestBackoff;
+      return;
+    case SendFailure::kNotConnected:
+    case SendFailure::kConnectionLost:
+    case SendFailure::kBadAnswer:
+    case SendFailure::kServerError:
+    case SendFailure::kTimeout:
+      server.backoff =
+          std::clamp(server.backoff * 2, kFirstBackoff, kLongestBackoff);
+      server.avoid_until = now + server.backoff;
+      return;
+  }
+}
+
+void BackendDirectory::OnCancelled(MonotonicTime now,
+                                   ServerIndex index,
+                                   Duration elapsed,
+                                   Duration expected) {
+  Server& server = this->At(index);
+  const double sample = Ratio(elapsed, expected);
+  // The answer would have taken longer than this.
+  if (expected > Duration::zero() && sample > this->SlownessOf(now, server)) {
+    this->AddSlowness(now, server, sample);
+  }
+  this->EndAttempt(server);
+}
+
+const ListedServer& BackendDirectory::Listed(ServerIndex server) const {
+  return this->At(server).listed;
+}
+
+bool BackendDirectory::IsUsable(ServerIndex server) const {
+  return this->At(server).is_usable;
+}
+
+std::optional<Duration> BackendDirectory::LatencyQuantile(
+    const RouteName& route,
+    Fraction quantile) const {
+  const auto found = this->latencies.find(route);
+  return found == this->latencies.end() ? std::nullopt
+                                        : found->second.Quantile(quantile);
+}
+
+std::size_t BackendDirectory::UsableServers(const ServiceId& service) const {
+  const auto found = this->services.find(service);
+  if (found == this->services.end()) {
+    return 0;
+  }
+  const auto& members = found->second.members;
+  return static_cast<std::size_t>(std::count_if(
+      members.begin(), members.end(),
+      [this](ServerIndex index) { return this->At(index).is_usable; }));
+}
+
+BackendDirectory::Server& BackendDirectory::At(ServerIndex server) {
+  return this->servers.at(server.value() - 1);
+}
+
+const BackendDirectory::Server& BackendDirectory::At(ServerIndex server) const {
+  return this->servers.at(server.value() - 1);
+}
+
+double BackendDirectory::SlownessOf(MonotonicTime now,
+                                    const Server& server) const {
+  const double age = Ratio(now - server.slowness_at, kSlownessHalfLife);
+  return 1 + (server.slowness - 1) * std::exp2(-age);
+}
+
+void BackendDirectory::AddSlowness(MonotonicTime now,
+                                   Server& server,
+                                   double sample) {
+  const double known = this->SlownessOf(now, server);
+  server.slowness =
+      known + kSlownessWeight * (std::min(sample, kMostSlowness) - known);
+  server.slowness_at = now;
+}
+
+ServerView BackendDirectory::ViewOf(MonotonicTime now,
+                                    ServerIndex index,
+                                    const Server& server,
+                                    Duration expected) const {
+  ServerView view;
+  view.index = index;
+  view.state = ServerState::kServing;
+  view.same_data_centre =
+      server.listed.data_centre == this->settings.data_centre;
+  view.suspect = now < server.avoid_until;
+  view.slots = std::max(server.listed.slots, 1U);
+  view.in_flight = server.in_flight;
+  view.limit = server.in_flight + 1;
+  view.reported_load = server.reported_load;
+  view.report_age = now - server.reported_at;
+  const double cold = server.listed.is_cold ? kColdSlowness : 1;
+  view.latency_estimate =
+      Duration(static_cast<std::int64_t>(static_cast<double>(expected.count()) *
+                                         this->SlownessOf(now, server) * cold));
+  view.silent_for =
+      server.in_flight > 0 ? now - server.silent_since : Duration::zero();
+  view.usable_for = now - server.usable_since;
+  return view;
+}
+
+void BackendDirectory::Collect(MonotonicTime now,
+                               const Service& service,
+                               Duration expected,
+                               std::span<const ServerIndex> tried) {
+  this->candidates.clear();
+  for (const ServerIndex index : service.members) {
+    const Server& server = this->At(index);
+    if (server.is_usable &&
+        std::find(tried.begin(), tried.end(), index) == tried.end()) {
+      this->candidates.push_back(this->ViewOf(now, index, server, expected));
+    }
+  }
+}
+
+void BackendDirectory::CountSent(MonotonicTime now, ServerIndex index) {
+  Server& server = this->At(index);
+  if (server.in_flight == 0) {
+    server.silent_since = now;
+  }
+  ++server.in_flight;
+}
+
+void BackendDirectory::EndAttempt(Server& server) {
+  server.in_flight -= std::min(server.in_flight, 1U);
+}
+
+}  // namespace marigold
--- /dev/null
+++ b/src/policy/backend_directory.h
@@ -0,0 +1,215 @@
+#ifndef SRC_POLICY_BACKEND_DIRECTORY_H_
+#define SRC_POLICY_BACKEND_DIRECTORY_H_
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "src/core/ids.h"
+#include "src/core/random.h"
+#include "src/core/units.h"
+#include "src/policy/latency_digest.h"
+#include "src/policy/listing.h"
+#include "src/policy/replica_choice.h"
+#include "src/policy/retry_budget.h"
+#include "src/policy/search_types.h"
+#include "src/policy/server_view.h"
+
+namespace marigold {
+
+// How an attempt at a backend server failed.
+enum class SendFailure {
+  // No connection was opened in time, or it was refused; nothing was sent.
+  kNotConnected,
+  // The server said that it did not run the request.
+  kNotExecuted,
+  // The server is another one than expected; nothing ran.
+  kOtherServer,
+  // The connection ended without a whole answer.
+  kConnectionLost,
+  // The answer is malformed or belongs to another request.
+  kBadAnswer,
+  // The server answered with a failure of its own.
+  kServerError,
+  // No answer within the time that the attempt had.
+  kTimeout,
+};
+
+// Stable text for logs, such as "not_executed".
+std::string_view ToString(SendFailure failure);
+
+// True if the request surely did not run.
+bool SurelyNotRun(SendFailure failure);
+
+// Requests that a backend server says it has, running and waiting.
+struct ReportedLoad {
+  std::uint32_t running = 0;
+  std::uint32_t waiting = 0;
+  std::uint32_t slots = 0;
+};
+
+struct DirectorySettings {
+  DataCentreId data_centre;
+  RetryBudgetSettings retries;
+};
+
+// What one entry process knows of the listed backend servers that say little of
+// themselves: the list, and what this process observed. Not synchronised.
+class BackendDirectory {
+ public:
+  explicit BackendDirectory(DirectorySettings directory_settings)
+      : settings(std::move(directory_settings)) {}
+
+  BackendDirectory(const BackendDirectory&) = delete;
+  BackendDirectory& operator=(const BackendDirectory&) = delete;
+
+  // Commands.
+
+  // Takes a whole listing. Servers that are draining or gone get no new work;
+  // returns those that have become so.
+  std::vector<ServerIndex> Apply(MonotonicTime now,
+                                 std::span<const ListedServer> listed);
+
+  void SetShare(Fraction entry_share) { this->share = entry_share; }
+
+  // Counts a request for a service.
+  void OnRequest(MonotonicTime now, const ServiceId& service);
+
+  // False if the service's retry budget is used up.
+  bool TrySpendRetry(MonotonicTime now, const ServiceId& service);
+
+  // Picks a server that was not tried and counts an attempt there. `expected`
+  // is the latency of a typical server.
+  template <class Replica, RandomSource Random>
+  std::optional<ServerIndex> Place(MonotonicTime now,
+                                   const ServiceId& service,
+                                   Duration expected,
+                                   std::span<const ServerIndex> tried,
+                                   const Replica& replica,
+                                   Random& random);
+
+  // Takes the latency of a whole answer to a request of a route.
+  void AddLatency(const RouteName& route, Duration latency);
+
+  // Each ends an attempt that `Place` counted.
+  void OnAnswer(MonotonicTime now,
+                ServerIndex server,
+                Duration latency,
+                Duration expected,
+                const std::optional<ReportedLoad>& load);
+  void OnFailure(MonotonicTime now, ServerIndex server, SendFailure failure);
+  // Nobody waits for the answer any more after `elapsed`.
+  void OnCancelled(MonotonicTime now,
+                   ServerIndex server,
+                   Duration elapsed,
+                   Duration expected);
+
+  // Queries.
+
+  // Valid until the next command.
+  const ListedServer& Listed(ServerIndex server) const;
+  bool IsUsable(ServerIndex server) const;
+  // The latency below which this share of a route's answers arrive from backend
+  // servers; nothing with too few answers.
+  std::optional<Duration> LatencyQuantile(const RouteName& route,
+                                          Fraction share) const;
+  std::size_t UsableServers(const ServiceId& service) const;
+  std::size_t size() const { return this->servers.size(); }
+
+ private:
+  struct Server {
+    ListedServer listed;
+    bool is_usable = false;
+    std::uint32_t in_flight = 0;
+    // Latency over the service's typical one; 1 is typical.
+    double slowness = 1;
+    MonotonicTime slowness_at;
+    // Not used before this unless no other server is left.
+    MonotonicTime avoid_until = MonotonicTime::min();
+    Duration backoff{};
+    std::uint32_t reported_load = 0;
+    MonotonicTime reported_at = MonotonicTime::min();
+    // The last answer, or when the oldest attempt without one began.
+    MonotonicTime silent_since;
+    MonotonicTime usable_since;
+  };
+
+  struct Service {
+    std::vector<ServerIndex> members;
+    RetryBudget retries;
+  };
+
+  // Identifies a server's start.
+  struct ServerKey {
+    BackendServerId server;
+    std::int64_t started_at_ms = 0;
+
+    bool operator==(const ServerKey&) const = default;
+  };
+
+  struct ServerKeyHash {
+    std::size_t operator()(const ServerKey& key) const {
+      return std::hash<BackendServerId>()(key.server) ^
+             static_cast<std::size_t>(key.started_at_ms);
+    }
+  };
+
+  static constexpr std::uint32_t kLatencyWindow = 512;
+
+  Server& At(ServerIndex server);
+  const Server& At(ServerIndex server) const;
+  ServerIndex Adopt(MonotonicTime now, const ListedServer& listed);
+  double SlownessOf(MonotonicTime now, const Server& server) const;
+  void AddSlowness(MonotonicTime now, Server& server, double sample);
+  ServerView ViewOf(MonotonicTime now,
+                    ServerIndex index,
+                    const Server& server,
+                    Duration expected) const;
+  void Collect(MonotonicTime now,
+               const Service& service,
+               Duration expected,
+               std::span<const ServerIndex> tried);
+  void CountSent(MonotonicTime now, ServerIndex server);
+  void EndAttempt(Server& server);
+
+  DirectorySettings settings;
+  Fraction share{0};
+  // The server of index i is at position i - 1.
+  std::vector<Server> servers;
+  std::unordered_map<ServerKey, ServerIndex, ServerKeyHash> index_by_key;
+  std::unordered_map<ServiceId, Service> services;
+  std::unordered_map<RouteName, LatencyDigest> latencies;
+  // Used only during `Place`; kept to reuse its memory.
+  std::vector<ServerView> candidates;
+};
+
+template <class Replica, RandomSource Random>
+std::optional<ServerIndex> BackendDirectory::Place(
+    MonotonicTime now,
+    const ServiceId& service,
+    Duration expected,
+    std::span<const ServerIndex> tried,
+    const Replica& replica,
+    Random& random) {
+  const auto found = this->services.find(service);
+  if (found == this->services.end()) {
+    return std::nullopt;
+  }
+  this->Collect(now, found->second, expected, tried);
+  if (this->candidates.empty()) {
+    return std::nullopt;
+  }
+  const std::optional<ServerIndex> chosen =
+      replica.Choose(this->candidates, random);
+  if (chosen) {
+    this->CountSent(now, *chosen);
+  }
+  return chosen;
+}
+
+}  // namespace marigold
+
+#endif  // SRC_POLICY_BACKEND_DIRECTORY_H_
--- a/src/policy/control_choice.cc
+++ b/src/policy/control_choice.cc
@@ -56,6 +56,12 @@
   }
 }
 
+void ControlChoice::Learn(const Endpoint& endpoint) {
+  if (this->Find(endpoint) == nullptr) {
+    this->candidates.push_back({endpoint, 0, MonotonicTime::min()});
+  }
+}
+
 ControlChoice::Turn ControlChoice::Next(MonotonicTime now) {
   const std::size_t count = this->candidates.size();
   std::size_t best = (this->last + 1) % count;
--- a/src/policy/control_choice.h
+++ b/src/policy/control_choice.h
@@ -34,6 +34,9 @@
   void OnNoQuorum(MonotonicTime now, const Endpoint& endpoint);
   void OnGood(const Endpoint& endpoint);
 
+  // Adds an endpoint unless it is known.
+  void Learn(const Endpoint& endpoint);
+
   // Takes the next turn; equal ones alternate.
   Turn Next(MonotonicTime now);
 
--- /dev/null
+++ b/src/policy/listing_turn.h
@@ -0,0 +1,39 @@
+#ifndef SRC_POLICY_LISTING_TURN_H_
+#define SRC_POLICY_LISTING_TURN_H_
+
+#include <optional>
+
+#include "src/core/units.h"
+
+namespace marigold {
+
+// Who reads the platform's list and when: calls are paid for, so the control
+// group's leader reads it for everybody, and an entry VM only while it hears of
+// no fresh list.
+struct ListingTurn {
+  // A server that drains gets new work for at most this, a read and the
+  // distribution.
+  static constexpr Duration kLeaderInterval = std::chrono::milliseconds(1000);
+  // Two reads of the leader are missing.
+  static constexpr Duration kStaleAfter = std::chrono::milliseconds(2300);
+  static constexpr Duration kEntryInterval = std::chrono::milliseconds(1500);
+
+  static bool IsLeaderDue(MonotonicTime now, MonotonicTime last_attempt) {
+    return now - last_attempt >= kLeaderInterval;
+  }
+
+  // `delay` spreads the entry VMs.
+  static bool IsEntryDue(MonotonicTime now,
+                         MonotonicTime last_attempt,
+                         std::optional<MonotonicTime> observed_at,
+                         MonotonicTime started_at,
+                         Duration delay) {
+    const MonotonicTime known = observed_at.value_or(started_at);
+    return now - known >= kStaleAfter + delay &&
+           now - last_attempt >= kEntryInterval;
+  }
+};
+
+}  // namespace marigold
+
+#endif  // SRC_POLICY_LISTING_TURN_H_
--- a/src/policy/replica_choice.h
+++ b/src/policy/replica_choice.h
@@ -147,6 +147,59 @@
   }
 };
 
+// The candidate with the least expected delay, where another data centre counts
+// as a fixed delay: bytes between data centres are paid for. Suspect candidates
+// get something only if all are suspect.
+class NearestIdle {
+ public:
+  static constexpr bool kSendsTrials = false;
+
+  template <RandomSource Random>
+  std::optional<ServerIndex> Choose(CandidateViews candidates,
+                                    Random& random) const {
+    const ServerView* best = nullptr;
+    double best_cost = 0;
+    for (const ServerView& view : candidates) {
+      const double cost = Cost(view) + random.Unit() * kTieSpread;
+      const bool is_better =
+          best == nullptr ||
+          (view.suspect != best->suspect ? !view.suspect : cost < best_cost);
+      if (is_better) {
+        best = &view;
+        best_cost = cost;
+      }
+    }
+    return best == nullptr ? std::nullopt : std::optional(best->index);
+  }
+
+  // The expected delay in microseconds.
+  static double Cost(const ServerView& view) {
+    const double age = static_cast<double>(view.report_age.count());
+    const double freshness =
+        std::exp2(-age / static_cast<double>(kReportHalfLife.count()));
+    const double latency =
+        static_cast<double>(view.latency_estimate.count() + 1);
+    const double load = static_cast<double>(view.in_flight) +
+                        static_cast<double>(view.reported_load) * freshness;
+    const double slots = static_cast<double>(view.slots);
+    const double queued = std::max(0.0, load + 1 - slots) / slots;
+    const double silence = std::max(
+        0.0, static_cast<double>(view.silent_for.count()) - 2 * latency);
+    const double remote =
+        view.same_data_centre ? 0 : static_cast<double>(kRemoteDelay.count());
+    return latency * (1 + queued + kBusyWeight * load / slots) + silence +
+           remote;
+  }
+
+ private:
+  static constexpr Duration kReportHalfLife = std::chrono::milliseconds(300);
+  static constexpr Duration kRemoteDelay = std::chrono::milliseconds(4);
+  // A busy server is a little slower even while it has free slots.
+  static constexpr double kBusyWeight = 0.3;
+  // Spreads equal candidates, in microseconds.
+  static constexpr double kTieSpread = 300;
+};
+
 }  // namespace marigold
 
 #endif  // SRC_POLICY_REPLICA_CHOICE_H_
--- /dev/null
+++ b/src/policy/retry_budget.h
@@ -0,0 +1,95 @@
+#ifndef SRC_POLICY_RETRY_BUDGET_H_
+#define SRC_POLICY_RETRY_BUDGET_H_
+
+#include <algorithm>
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
+#include "src/core/units.h"
+
+namespace marigold {
+
+// How many sub-requests beyond the first of each request the whole fleet may
+// send to one service within a window.
+struct RetryBudgetSettings {
+  // Of the service's requests in the window.
+  Fraction ratio{0.2};
+  // On top of the ratio, for the whole fleet.
+  double fleet_minimum = 100;
+  Duration window = std::chrono::seconds(10);
+};
+
+// One entry VM's part of a service's retry budget. Counts in a sliding window,
+// so that no span of that length exceeds the budget. Not synchronised.
+class RetryBudget {
+ public:
+  // Commands.
+
+  // A request for the service arrived.
+  void OnRequest(const RetryBudgetSettings& settings, MonotonicTime now) {
+    this->Advance(settings, now);
+    ++this->slots[this->SlotOf(settings, now)].requests;
+  }
+
+  // Counts one further send; false, and nothing counted, if the budget is used
+  // up. `share` is this entry VM's part of the fleet's minimum.
+  bool TrySpend(const RetryBudgetSettings& settings,
+                MonotonicTime now,
+                Fraction share) {
+    this->Advance(settings, now);
+    std::uint64_t requests = 0;
+    std::uint64_t extra = 0;
+    for (const Slot& slot : this->slots) {
+      requests += slot.requests;
+      extra += slot.extra;
+    }
+    const double allowed =
+        kSafety * (settings.ratio.value() * static_cast<double>(requests) +
+                   settings.fleet_minimum * share.value());
+    if (static_cast<double>(extra + 1) > allowed) {
+      return false;
+    }
+    ++this->slots[this->SlotOf(settings, now)].extra;
+    return true;
+  }
+
+ private:
+  struct Slot {
+    std::uint32_t requests = 0;
+    std::uint32_t extra = 0;
+  };
+
+  static constexpr std::size_t kSlots = 20;
+  // Requests are counted here a moment before they are seen outside, and a
+  // window that is seen outside may span one slot more.
+  static constexpr double kSafety = 0.85;
+
+  std::int64_t Step(const RetryBudgetSettings& settings,
+                    MonotonicTime now) const {
+    return now.time_since_epoch() / (settings.window / kSlots);
+  }
+
+  std::size_t SlotOf(const RetryBudgetSettings& settings,
+                     MonotonicTime now) const {
+    return static_cast<std::size_t>(this->Step(settings, now)) % kSlots;
+  }
+
+  // Clears the slots that have left the window.
+  void Advance(const RetryBudgetSettings& settings, MonotonicTime now) {
+    const std::int64_t step = this->Step(settings, now);
+    const std::int64_t first = std::max(
+        this->last_step + 1, step - static_cast<std::int64_t>(kSlots) + 1);
+    for (std::int64_t passed = first; passed <= step; ++passed) {
+      this->slots[static_cast<std::size_t>(passed) % kSlots] = {};
+    }
+    this->last_step = std::max(this->last_step, step);
+  }
+
+  std::array<Slot, kSlots> slots{};
+  std::int64_t last_step = 0;
+};
+
+}  // namespace marigold
+
+#endif  // SRC_POLICY_RETRY_BUDGET_H_
--- /dev/null
+++ b/src/policy/routes.cc
@@ -0,0 +1,117 @@
+#include "src/policy/routes.h"
+
+#include <fmt/format.h>
+
+#include <set>
+#include <unordered_set>
+#include <utility>
+
+namespace marigold {
+
+namespace {
+
+using ServiceSet = std::unordered_set<ServiceId>;
+
+void CheckService(const ServiceSet& known,
+                  const Route& route,
+                  const ServiceId& service,
+                  std::vector<std::string>& errors) {
+  if (!known.contains(service)) {
+    errors.push_back(
+        fmt::format("route {}: service {}: expected a service of the table",
+                    route.name.value(), service.value()));
+  }
+}
+
+void CheckRoute(const ServiceSet& known,
+                const Route& route,
+                std::vector<std::string>& errors) {
+  const std::string& name = route.name.value();
+  if (route.time_limit <= Duration::zero()) {
+    errors.push_back(
+        fmt::format("route {}: time_limit: expected above 0", name));
+  }
+  if (route.path_prefix.empty() || route.path_prefix.front() != '/') {
+    errors.push_back(
+        fmt::format("route {}: path_prefix: expected a leading slash", name));
+  }
+  if (route.fan_out) {
+    if (route.fan_out->shards.empty()) {
+      errors.push_back(
+          fmt::format("route {}: fan_out: expected a shard", name));
+    }
+    for (const ServiceId& shard : route.fan_out->shards) {
+      CheckService(known, route, shard, errors);
+    }
+    return;
+  }
+  std::uint64_t weights = 0;
+  for (const WeightedService& part : route.services) {
+    CheckService(known, route, part.service, errors);
+    weights += part.weight;
+  }
+  if (weights == 0) {
+    errors.push_back(
+        fmt::format("route {}: weights: expected a sum above 0", name));
+  }
+}
+
+std::string_view WithoutPort(std::string_view host) {
+  return host.substr(0, host.find(':'));
+}
+
+}  // namespace
+
+std::vector<std::string> CheckRoutes(const RouteTable& table) {
+  std::vector<std::string> errors;
+  ServiceSet known;
+  for (const RoutedService& service : table.services) {
+    known.insert(service.service);
+  }
+  std::set<std::pair<std::string_view, std::string_view>> places;
+  for (const Route& route : table.routes) {
+    CheckRoute(known, route, errors);
+    if (!places.emplace(route.host, route.path_prefix).second) {
+      errors.push_back(fmt::format(
+          "route {}: host {} and path_prefix {}: expected no other route there",
+          route.name.value(), route.host, route.path_prefix));
+    }
+  }
+  return errors;
+}
+
+RouteIndex::RouteIndex(RouteTable route_table)
+    : routes(std::move(route_table)) {
+  for (const Route& route : this->routes.routes) {
+    this->by_host[route.host][route.path_prefix] = &route;
+  }
+  for (const RoutedService& service : this->routes.services) {
+    this->connection_limits[service.service] = service.connection_limit;
+  }
+}
+
+const Route* RouteIndex::Match(std::string_view host,
+                               std::string_view path) const {
+  const auto position = this->by_host.find(WithoutPort(host));
+  if (position == this->by_host.end()) {
+    return nullptr;
+  }
+  path = path.substr(0, path.find('?'));
+  for (std::size_t end = path.size(); end > 0; --end) {
+    if (path[end - 1] != '/') {
+      continue;
+    }
+    const auto route = position->second.find(path.substr(0, end));
+    if (route != position->second.end()) {
+      return route->second;
+    }
+  }
+  return nullptr;
+}
+
+std::uint32_t RouteIndex::ConnectionLimit(const ServiceId& service) const {
+  const auto position = this->connection_limits.find(service);
+  return position == this->connection_limits.end() ? 0 : position->second;
+}
+
+}  // namespace marigold
--- /dev/null
+++ b/src/programs/control_process.cc
@@ -0,0 +1,72 @@
+#include "src/programs/control_process.h"
+
+#include <utility>
+
+#include "src/core/log.h"
+#include "src/net/control_http.h"
+
+namespace marigold {
+
+namespace {
+
+constexpr Duration kStreamHeartbeat = std::chrono::milliseconds(500);
+
+// Callers whose commands are in the log get their answers before the process
+// ends, if the group answers within this time.
+constexpr Duration kDrainTimeout = std::chrono::seconds(1);
+
+}  // namespace
+
+ControlProcess::ControlProcess(const ControlProcessSettings& process_settings)
+    : settings(process_settings),
+      table({}),
+      pool(process_settings.workers),
+      hub(std::make_shared<SubscriberHub>(pool,
+                                          table,
+                                          listing,
+                                          kStreamHeartbeat)) {}
+
+Result<void> ControlProcess::Open(HttpHandler handler) {
+  this->listing.OnChanged([hub = this->hub] { hub->NotifyListingChanged(); });
+  BOOST_LEAF_ASSIGN(
+      this->driver,
+      ControlDriver::Open(this->pool, this->table, this->settings.driver,
+                          [hub = this->hub] { hub->NotifyListsChanged(); }));
+  BOOST_LEAF_ASSIGN(this->server,
+                    ControlServer::Listen(
+                        this->pool, this->settings.driver.address, this->driver,
+                        this->hub, this->table, this->listing));
+  BOOST_LEAF_ASSIGN(
+      this->http,
+      HttpServer::Listen(this->pool, this->settings.http,
+                         this->settings.http_limits, std::move(handler)));
+  return {};
+}
+
+int ControlProcess::Serve() {
+  this->hub->Start();
+  this->driver->Start();
+  TimerHandle drain_timer;
+  this->pool.OnSignals([&](int number) {
+    LogEvent(LogLevel::kInfo, "stopping", {{"signal", number}});
+    drain_timer =
+        this->pool.After(kDrainTimeout, [this] { this->pool.Finish(); });
+    this->driver->Drain([this] { this->pool.Finish(); });
+  });
+  LogEvent(LogLevel::kInfo, "listening",
+           {{"address", ToString(this->settings.driver.address)},
+            {"http", ToString(this->settings.http)},
+            {"vm", this->settings.driver.vm.value()},
+            {"disk", this->driver->disk().value()}});
+  this->pool.WaitUntilFinished();
+  // Handlers refer to the members, which are destroyed next.
+  this->pool.Stop();
+  LogEvent(LogLevel::kInfo, "stopped");
+  return 0;
+}
+
+HttpResponse ControlProcess::AnswerHttp(const HttpRequest& request) const {
+  return AnswerControlHttp(request, *this->driver, *this->hub, this->table);
+}
+
+}  // namespace marigold
--- a/src/programs/entry_process.cc
+++ b/src/programs/entry_process.cc
@@ -18,11 +18,12 @@
 
 std::unique_ptr<ControlClient> MakeControl(const EntrySettings& settings,
                                            WorkerPool& pool,
-                                           ListTable& lists) {
+                                           ListTable& lists,
+                                           ListingTable& listing) {
   if (settings.controls.empty()) {
     return nullptr;
   }
-  return std::make_unique<ControlClient>(pool, lists,
+  return std::make_unique<ControlClient>(pool, lists, listing,
                                          ToControlSettings(settings));
 }
 
@@ -41,7 +42,7 @@
       servers(ToFleetSettings(settings)),
       client(pool, servers, metrics, ToClientSettings(settings)),
       monitor(pool, client, servers, ToMonitorSettings(settings)),
-      control(MakeControl(settings, pool, lists)),
+      control(MakeControl(settings, pool, lists, listing)),
       ledger(control == nullptr ? NoLedger() : LinkTo(*control)),
       gate(std::make_shared<EntryGate>(
           ToAdmissionSettings(settings),
--- a/src/programs/entry_process.h
+++ b/src/programs/entry_process.h
@@ -40,6 +40,7 @@
   EntryMetrics metrics;
   NoteTable notes;
   ListTable lists;
+  ListingTable listing;
   Lifecycle lifecycle;
   ServerTable servers;
   BackendClient client;
--- /dev/null
+++ b/src/programs/forward_process.h
@@ -0,0 +1,254 @@
+#ifndef SRC_PROGRAMS_FORWARD_PROCESS_H_
+#define SRC_PROGRAMS_FORWARD_PROCESS_H_
+
+#include <fmt/format.h>
+
+#include <atomic>
+#include <memory>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "src/core/log.h"
+#include "src/core/random.h"
+#include "src/net/control_client.h"
+#include "src/net/forward/caller_door.h"
+#include "src/net/forward/forwarder.h"
+#include "src/net/http_server.h"
+#include "src/net/listing_poller.h"
+#include "src/policy/listing_turn.h"
+#include "src/programs/forward_settings.h"
+
+namespace marigold {
+
+// An entry process that forwards requests by routes: its parts and their order
+// of start and end. `Dialect` and `Codec` translate one front end's formats.
+template <ForwardDialect Dialect, ListingCodec Codec>
+class ForwardProcess {
+ public:
+  explicit ForwardProcess(const ForwardSettings& process_settings)
+      : settings(process_settings),
+        backends(ToDirectorySettings(process_settings)),
+        pool(process_settings.workers),
+        control(pool, lists, listing, ToControlSettings(process_settings)) {}
+
+  ForwardProcess(const ForwardProcess&) = delete;
+  ForwardProcess& operator=(const ForwardProcess&) = delete;
+
+  // Serves until a signal ends the process; gives the exit code.
+  int Run() {
+    const auto opened = Capture<bool>([this]() -> Result<bool> {
+      BOOST_LEAF_CHECK(this->Open());
+      return true;
+    });
+    if (const auto* error = std::get_if<AnyError>(&opened)) {
+      LogEvent(LogLevel::kError, "start_failed", {{"error", ToString(*error)}});
+      this->pool.Stop();
+      return 1;
+    }
+    this->pool.OnSignals([this](int number) { this->OnSignal(number); });
+    LogEvent(LogLevel::kInfo, "listening",
+             {{"address", ToString(this->settings.listen)},
+              {"admin", ToString(this->settings.admin)},
+              {"vm", this->settings.vm}});
+    this->pool.WaitUntilFinished();
+    // Handlers refer to the members, which are destroyed next.
+    this->pool.Stop();
+    LogEvent(LogLevel::kInfo, "stopped");
+    return 0;
+  }
+
+ private:
+  using LaneForwarder = Forwarder<Dialect>;
+
+  // The balancer sends no new callers after two readiness checks a second
+  // apart.
+  static constexpr Duration kRotationTime = std::chrono::milliseconds(2800);
+  // Before the process is ended by force.
+  static constexpr Duration kStopMargin = std::chrono::milliseconds(400);
+  static constexpr Duration kShareInterval = std::chrono::milliseconds(500);
+  static constexpr std::uint64_t kMostReadDelayMs = 600;
+  static constexpr int kStatusUnavailable = 503;
+  static constexpr int kStatusNotFound = 404;
+
+  static DirectorySettings ToDirectorySettings(
+      const ForwardSettings& settings) {
+    DirectorySettings directory;
+    directory.data_centre = DataCentreId(settings.data_centre);
+    directory.retries.ratio = Fraction(settings.retry_ratio);
+    directory.retries.fleet_minimum = settings.retry_minimum;
+    directory.retries.window = FromSeconds(settings.retry_window_s);
+    return directory;
+  }
+
+  static ControlClientSettings ToControlSettings(
+      const ForwardSettings& settings) {
+    ControlClientSettings client;
+    client.vm = VmId(settings.vm);
+    client.data_centre = DataCentreId(settings.data_centre);
+    client.controls = settings.controls;
+    return client;
+  }
+
+  Result<void> Open() {
+    this->started_at = this->clock.Now();
+    this->listing.OnChanged([this] { this->ApplyListing(); });
+    const ForwardShared shared{this->lists, this->backends, this->counters,
+                               [this] { return this->knows_routes(); }};
+    std::vector<std::shared_ptr<Lane>> lanes;
+    for (std::int64_t i = 0; i < this->settings.workers; ++i) {
+      lanes.push_back(std::make_shared<Lane>(this->pool));
+      this->forwarders.push_back({lanes.back(), std::make_shared<LaneForwarder>(
+                                                    lanes.back(), shared)});
+    }
+    BOOST_LEAF_ASSIGN(
+        this->door,
+        CallerDoor::Listen(this->pool, this->settings.listen, lanes,
+                           static_cast<std::size_t>(this->settings.connections),
+                           [this](const std::shared_ptr<Lane>& lane) {
+                             return this->ForwarderOf(lane)->Handlers();
+                           }));
+    BOOST_LEAF_ASSIGN(this->admin,
+                      HttpServer::Listen(this->pool, this->settings.admin, {},
+                                         [this](const HttpRequest& request,
+                                                const HttpResponder& respond) {
+                                           respond(this->AnswerAdmin(request));
+                                         }));
+    BOOST_LEAF_CHECK(this->control.Start());
+    this->StartPolling();
+    this->ArmShare();
+    return {};
+  }
+
+  std::shared_ptr<LaneForwarder> ForwarderOf(
+      const std::shared_ptr<Lane>& lane) const {
+    for (const auto& [own_lane, forwarder] : this->forwarders) {
+      if (own_lane == lane) {
+        return forwarder;
+      }
+    }
+    return nullptr;
+  }
+
+  void StartPolling() {
+    const Duration delay = std::chrono::milliseconds(
+        SeededRandom(SystemSeed()).Below(kMostReadDelayMs));
+    this->poller = std::make_shared<ListingPoller<Codec>>(
+        this->pool, this->settings.server_list, this->listing,
+        [this, delay](MonotonicTime now, MonotonicTime last_attempt) {
+          return ListingTurn::IsEntryDue(now, last_attempt,
+                                         this->listing.Summary().observed_at,
+                                         this->started_at, delay);
+        },
+        [](bool) {});
+    this->poller->Start();
+  }
+
+  void ApplyListing() {
+    const auto servers = this->listing.Servers();
+    const MonotonicTime now = this->clock.Now();
+    const auto retired =
+        this->backends.Access([&](BackendDirectory& directory) {
+          return directory.Apply(now, *servers);
+        });
+    LogEvent(LogLevel::kInfo, "listing_applied",
+             {{"servers", servers->size()}, {"retired", retired.size()}});
+    for (const auto& [lane, forwarder] : this->forwarders) {
+      lane->Post(
+          [forwarder = forwarder, retired] { forwarder->Retire(retired); });
+    }
+  }
+
+  // Passes this entry VM's part of the retry budgets on.
+  void ArmShare() {
+    this->share_timer = this->pool.After(kShareInterval, [this] {
+      const Fraction share = this->listing.share();
+      this->backends.Access(
+          [&](BackendDirectory& directory) { directory.SetShare(share); });
+      this->ArmShare();
+    });
+  }
+
+  bool knows_routes() const {
+    return this->control.is_synchronised() && this->lists.Routes() != nullptr;
+  }
+
+  HttpResponse AnswerAdmin(const HttpRequest& request) const {
+    HttpResponse response;
+    response.content_type = "text/plain; version=0.0.4";
+    if (request.path == this->settings.ready_path) {
+      const bool is_ready = !this->is_leaving && this->knows_routes() &&
+                            this->listing.Summary().observed_at.has_value();
+      response.status = is_ready ? response.status : kStatusUnavailable;
+      response.body = is_ready ? "ready" : "not ready";
+    } else if (request.path == "/metrics") {
+      response.body = this->counters.Text();
+    } else if (request.path == "/state") {
+      response.content_type = "application/json";
+      response.body = this->State();
+    } else {
+      response.status = kStatusNotFound;
+      response.body = "no such resource";
+    }
+    return response;
+  }
+
+  std::string State() const {
+    const auto routes = this->lists.Routes();
+    const ListingSummary summary = this->listing.Summary();
+    return fmt::format(
+        R"({{"routes_version":{},"listed_servers":{},"listing_age_ms":{:.0f},)"
+        R"("connections":{},"leaving":{}}})",
+        routes ? routes->table().version.value() : 0,
+        this->listing.Servers()->size(),
+        summary.observed_at
+            ? ToMilliseconds(this->clock.Now() - *summary.observed_at)
+            : -1.0,
+        this->door->open_connections(), this->is_leaving.load());
+  }
+
+  void OnSignal(int number) {
+    if (this->is_leaving.exchange(true)) {
+      return;
+    }
+    LogEvent(
+        LogLevel::kInfo, "leaving",
+        {{"signal", number}, {"connections", this->door->open_connections()}});
+    this->door->Leave();
+    const Duration bound =
+        FromSeconds(this->settings.stop_bound_s) - kStopMargin;
+    this->pool.PostAfter(std::min(kRotationTime, bound / 2), [this] {
+      LogEvent(LogLevel::kInfo, "draining",
+               {{"connections", this->door->open_connections()}});
+      this->door->Drain([this] { this->pool.Finish(); });
+    });
+    this->pool.PostAfter(bound, [this] {
+      LogEvent(LogLevel::kWarning, "stopped_at_bound",
+               {{"connections", this->door->open_connections()}});
+      this->pool.Finish();
+    });
+  }
+
+  ForwardSettings settings;
+  SystemClock clock;
+  MonotonicTime started_at;
+  // The tables outlive the pool, whose threads may still use them.
+  ListTable lists;
+  ListingTable listing;
+  BackendTable backends;
+  ForwardCounters counters;
+  std::atomic<bool> is_leaving = false;
+  WorkerPool pool;
+  ControlClient control;
+  std::vector<std::pair<std::shared_ptr<Lane>, std::shared_ptr<LaneForwarder>>>
+      forwarders;
+  std::unique_ptr<CallerDoor> door;
+  std::unique_ptr<HttpServer> admin;
+  std::shared_ptr<ListingPoller<Codec>> poller;
+  TimerHandle share_timer;
+};
+
+}  // namespace marigold
+
+#endif  // SRC_PROGRAMS_FORWARD_PROCESS_H_
--- /dev/null
+++ b/src/programs/forward_settings.cc
@@ -0,0 +1,33 @@
+#include "src/programs/forward_settings.h"
+
+namespace marigold {
+
+void AddForwardSettings(ForwardSettings& settings, SettingsTable& table) {
+  table.AddText("vm", settings.vm, "id", "Id of this VM.");
+  table.AddText("data-centre", settings.data_centre, "id",
+                "Data centre of this VM.");
+  table.AddEndpoint("listen", settings.listen, "Address for callers.");
+  table.AddEndpoint("admin", settings.admin,
+                    "Address for the readiness check, /state and /metrics.");
+  table.AddEndpoint("server-list", settings.server_list,
+                    "Address of the platform's list of backend servers.");
+  table.AddNumber("workers", settings.workers, 1, 64, "threads",
+                  "Threads that run handlers.");
+  table.AddNumber("connections", settings.connections, 1, 1'000'000,
+                  "connections", "Callers' connections at the same time.");
+  table.AddDecimal("retry-ratio", settings.retry_ratio, 0, 10, "share",
+                   "Repeated sends to a service over its requests.");
+  table.AddDecimal("retry-minimum", settings.retry_minimum, 0, 1'000'000,
+                   "sends",
+                   "Repeated sends that all entry VMs may add to the ratio in "
+                   "one window.");
+  table.AddDecimal("retry-window-s", settings.retry_window_s, 0.1, 3'600, "s",
+                   "Window in which repeated sends are counted.");
+  table.AddDecimal("stop-bound-s", settings.stop_bound_s, 1, 3'600, "s",
+                   "Time to stop before the process is ended by force.");
+  table.AddChoice("log-level", settings.log_level,
+                  {"debug", "info", "warning", "error", "off"},
+                  "Lines below this level are not logged.");
+}
+
+}  // namespace marigold
--- /dev/null
+++ b/src/programs/forward_settings.h
@@ -0,0 +1,39 @@
+#ifndef SRC_PROGRAMS_FORWARD_SETTINGS_H_
+#define SRC_PROGRAMS_FORWARD_SETTINGS_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "src/core/settings.h"
+#include "src/core/settings_values.h"
+#include "src/core/units.h"
+
+namespace marigold {
+
+// Settings of an entry process that forwards requests by routes.
+struct ForwardSettings {
+  std::string vm;
+  std::string data_centre;
+  Endpoint listen{"127.0.0.1", 8080};
+  Endpoint admin{"127.0.0.1", 8081};
+  // Answers whether new callers are welcome.
+  std::string ready_path = "/ready";
+  std::vector<Endpoint> controls;
+  Endpoint server_list{"127.0.0.1", 7300};
+  std::int64_t workers = 1;
+  std::int64_t connections = 2'000;
+  double retry_ratio = 0.2;
+  double retry_minimum = 100;
+  double retry_window_s = 10;
+  // From the request to stop until the process is ended by force.
+  double stop_bound_s = 6;
+  std::string log_level = "info";
+};
+
+// Adds the settings that all front ends share.
+void AddForwardSettings(ForwardSettings& settings, SettingsTable& table);
+
+}  // namespace marigold
+
+#endif  // SRC_PROGRAMS_FORWARD_SETTINGS_H_
--- a/src/programs/marigold_control.cc
+++ b/src/programs/marigold_control.cc
@@ -2,29 +2,16 @@
 // action ledger.
 
 #include <cstdint>
-#include <memory>
 #include <variant>
 
 #include "src/core/log.h"
 #include "src/core/settings.h"
-#include "src/net/control_driver.h"
-#include "src/net/control_http.h"
-#include "src/net/control_server.h"
-#include "src/net/http_server.h"
-#include "src/net/subscriber_hub.h"
-#include "src/net/worker_pool.h"
-#include "src/tables/control_table.h"
+#include "src/programs/control_process.h"
 
 namespace marigold {
 
 namespace {
 
-constexpr Duration kStreamHeartbeat = std::chrono::milliseconds(500);
-
-// Callers whose commands are in the log get their answers before the process
-// ends, if the group answers within this time.
-constexpr Duration kDrainTimeout = std::chrono::seconds(1);
-
 struct ControlSettings {
   Endpoint listen{"127.0.0.1", 7100};
   Endpoint http{"127.0.0.1", 7180};
@@ -39,6 +26,7 @@
   Duration replace_after = std::chrono::seconds(30);
   std::int64_t compact_entries = 8'192;
   std::int64_t workers = 4;
+  std::string log_level = "info";
 };
 
 SettingsTable MakeTable(ControlSettings& settings) {
@@ -74,6 +62,9 @@
                   "entries", "Applied entries between snapshots.");
   table.AddNumber("workers", settings.workers, 2, 64, "threads",
                   "Threads that run handlers.");
+  table.AddChoice("log-level", settings.log_level,
+                  {"debug", "info", "warning", "error"},
+                  "Lines below this level are not logged.");
   return table;
 }
 
@@ -114,62 +105,22 @@
   return driver;
 }
 
-// The parts that serve requests, in the order in which they are made.
-struct Parts {
-  std::shared_ptr<SubscriberHub> hub;
-  std::shared_ptr<ControlDriver> driver;
-  std::unique_ptr<ControlServer> server;
-  std::unique_ptr<HttpServer> http;
-};
-
-Result<Parts> MakeParts(WorkerPool& pool,
-                        ControlTable& table,
-                        const ControlSettings& settings) {
-  Parts parts;
-  parts.hub = std::make_shared<SubscriberHub>(pool, table, kStreamHeartbeat);
-  BOOST_LEAF_ASSIGN(
-      parts.driver,
-      ControlDriver::Open(pool, table, ToDriverSettings(settings),
-                          [hub = parts.hub] { hub->NotifyListsChanged(); }));
-  BOOST_LEAF_ASSIGN(parts.server,
-                    ControlServer::Listen(pool, settings.listen, parts.driver,
-                                          parts.hub, table));
-  BOOST_LEAF_ASSIGN(
-      parts.http,
-      HttpServer::Listen(
-          pool, settings.http, {},
-          [driver = parts.driver, hub = parts.hub, &table](
-              const HttpRequest& request, const HttpResponder& respond) {
-            respond(AnswerControlHttp(request, *driver, *hub, table));
-          }));
-  return parts;
-}
-
 int Run(const ControlSettings& settings) {
-  // The table outlives the pool, whose threads may still use it.
-  ControlTable table({});
-  WorkerPool pool(settings.workers);
-  auto made = Capture<Parts>([&] { return MakeParts(pool, table, settings); });
-  if (const auto* error = std::get_if<AnyError>(&made)) {
+  SetLogLevel(ParseLogLevel(settings.log_level).value_or(LogLevel::kInfo));
+  ControlProcess process(
+      {settings.http, {}, settings.workers, ToDriverSettings(settings)});
+  const auto opened = Capture<bool>([&]() -> Result<bool> {
+    BOOST_LEAF_CHECK(process.Open(
+        [&](const HttpRequest& request, const HttpResponder& respond) {
+          respond(process.AnswerHttp(request));
+        }));
+    return true;
+  });
+  if (const auto* error = std::get_if<AnyError>(&opened)) {
     LogEvent(LogLevel::kError, "start_failed", {{"error", ToString(*error)}});
     return 1;
   }
-  const Parts& parts = std::get<Parts>(made);
-  parts.hub->Start();
-  parts.driver->Start();
-  TimerHandle drain_timer;
-  pool.OnSignals([&](int number) {
-    LogEvent(LogLevel::kInfo, "stopping", {{"signal", number}});
-    drain_timer = pool.After(kDrainTimeout, [&pool] { pool.Finish(); });
-    parts.driver->Drain([&pool] { pool.Finish(); });
-  });
-  LogEvent(LogLevel::kInfo, "listening",
-           {{"address", ToString(settings.listen)},
-            {"http", ToString(settings.http)},
-            {"vm", settings.vm},
-            {"disk", parts.driver->disk().value()}});
-  pool.WaitUntilFinished();
-  return 0;
+  return process.Serve();
 }
 
 }  // namespace
--- a/src/replication/detail/leadership_members.cc
+++ b/src/replication/detail/leadership_members.cc
@@ -120,7 +120,8 @@
   }
   const std::vector<DiskId> lost = this->LostVoters(state);
   const auto change =
-      PlanRepair(state.membership(), lost, this->ReadySpares(state));
+      PlanRepair(state.membership(), lost, this->ReadySpares(state),
+                 state.settings.voters);
   if (!change) {
     return;
   }
@@ -129,7 +130,7 @@
   if (proposal.status != ProposeStatus::kProposed) {
     return;
   }
-  if (change->member.role == MemberRole::kVoter) {
+  if (change->member.role == MemberRole::kVoter && !lost.empty()) {
     this->replaced = lost.front();
   } else {
     this->replaced.reset();
--- a/src/replication/detail/membership_rules.cc
+++ b/src/replication/detail/membership_rules.cc
@@ -51,9 +51,13 @@
 
 std::optional<MembershipChange> PlanRepair(const Membership& membership,
                                            const std::vector<DiskId>& lost,
-                                           const std::vector<DiskId>& ready) {
+                                           const std::vector<DiskId>& ready,
+                                           std::size_t wanted) {
   if (lost.empty()) {
-    return std::nullopt;
+    if (ready.empty() || membership.VoterCount() >= wanted) {
+      return std::nullopt;
+    }
+    return RoleChange(membership, ready.front(), MemberRole::kVoter);
   }
   if (membership.VoterCount() % 2 == 0) {
     return RoleChange(membership, lost.front(), MemberRole::kSpare);
--- a/src/replication/detail/membership_rules.h
+++ b/src/replication/detail/membership_rules.h
@@ -1,6 +1,7 @@
 #ifndef SRC_REPLICATION_DETAIL_MEMBERSHIP_RULES_H_
 #define SRC_REPLICATION_DETAIL_MEMBERSHIP_RULES_H_
 
+#include <cstddef>
 #include <optional>
 #include <vector>
 
@@ -17,10 +18,12 @@
 // none to make. With an odd number of voters a ready spare is promoted first,
 // and the lost voter is demoted after that: the voters that answer plus the
 // spare make the larger quorum, so no step makes the group tolerate fewer
-// further losses than before. `lost` are voters, `ready` spares.
+// further losses than before. `lost` are voters, `ready` spares. Without a lost
+// voter, a ready spare is promoted while there are fewer than `wanted` voters.
 std::optional<MembershipChange> PlanRepair(const Membership& membership,
                                            const std::vector<DiskId>& lost,
-                                           const std::vector<DiskId>& ready);
+                                           const std::vector<DiskId>& ready,
+                                           std::size_t wanted);
 
 }  // namespace marigold::detail
 
--- a/src/replication/replica_types.h
+++ b/src/replication/replica_types.h
@@ -22,6 +22,8 @@
   // A voter not heard from for this long is replaced by a spare, if the leader
   // has one that has caught up. Zero turns it off.
   Duration replace_after = std::chrono::seconds(30);
+  // Spares are promoted until the group has this many voters; 0 for none.
+  std::size_t voters = 0;
 };
 
 enum class ReplicaRole : std::uint8_t { kFollower, kCandidate, kLeader };
--- a/src/tables/control_state.cc
+++ b/src/tables/control_state.cc
@@ -134,6 +134,17 @@
   return this->ledger.Record(this->latest, outcome);
 }
 
+ControlOutcome ControlState::Run(const PutRoutes& put) {
+  if (this->routes_in_force &&
+      put.table.version <= this->routes_in_force->table.version) {
+    return PutRoutesOutcome{false, this->routes_in_force->table.version};
+  }
+  this->routes_in_force = std::make_shared<const PutRoutes>(put);
+  this->last_routes_change = this->last_applied;
+  this->last_list_change = this->last_applied;
+  return PutRoutesOutcome{true, put.table.version};
+}
+
 std::optional<IndexedEdits> ControlState::EditsAfter(LogIndex index) const {
   return this->changes.EditsAfter(index);
 }
--- a/src/tables/control_state.h
+++ b/src/tables/control_state.h
@@ -1,6 +1,7 @@
 #ifndef SRC_TABLES_CONTROL_STATE_H_
 #define SRC_TABLES_CONTROL_STATE_H_
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -70,7 +71,8 @@
   const Lists& lists() const { return this->in_force; }
   // The last applied index.
   LogIndex applied() const { return this->last_applied; }
-  // The index that last changed a list; the version that entry VMs follow.
+  // The index that last changed a list or the routes; the version that entry
+  // VMs follow.
   LogIndex lists_index() const { return this->last_list_change; }
   // The accepted edits after `index` in order, or nothing if they are no longer
   // all remembered; then the whole lists have to be sent.
@@ -78,6 +80,12 @@
       LogIndex index) const;
   // The latest remembered edits, newest first, at most `limit`.
   std::vector<ChangeRecord> History(std::size_t limit) const;
+  // Null before the first route table.
+  std::shared_ptr<const PutRoutes> routes() const {
+    return this->routes_in_force;
+  }
+  // The index that last changed the routes.
+  LogIndex routes_index() const { return this->last_routes_change; }
   std::size_t ledger_size() const { return this->ledger.size(); }
 
  private:
@@ -87,6 +95,7 @@
   ControlOutcome Run(const ClaimAction& claim);
   ControlOutcome Run(const ReleaseClaim& release);
   ControlOutcome Run(const RecordOutcome& outcome);
+  ControlOutcome Run(const PutRoutes& put);
   // Decides about an edit whose change id is new.
   PutRowsOutcome Decide(const PutRows& edit);
   Execution ExecutionOfConflict(const PutRows& edit, ListVersion current) const;
@@ -98,6 +107,8 @@
   ActionLedger ledger;
   LogIndex last_applied;
   LogIndex last_list_change;
+  std::shared_ptr<const PutRoutes> routes_in_force;
+  LogIndex last_routes_change;
   // Of the last command.
   WallTime latest;
 };
--- a/src/tables/control_state_image.cc
+++ b/src/tables/control_state_image.cc
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr std::uint32_t kMagic = 0x5343474d;  // "MGCS"
-constexpr std::uint32_t kFormatVersion = 1;
+constexpr std::uint32_t kFormatVersion = 2;
 
 struct ImageHeader {
   std::uint32_t magic = kMagic;
@@ -40,7 +40,7 @@
   }
   if (header.version != kFormatVersion) {
     return boost::leaf::new_error(
-        ParseError{"version", kVersionOffset, "format version 1"});
+        ParseError{"version", kVersionOffset, "format version 2"});
   }
   if (header.body_checksum != Checksum(image.substr(kHeaderBytes))) {
     return boost::leaf::new_error(
@@ -65,12 +65,17 @@
   LogIndex applied;
   LogIndex lists_index;
   WallTime latest;
+  std::optional<PutRoutes> routes;
+  LogIndex routes_index;
 };
 
 std::string ControlState::Serialise() const {
   BinaryWriter body;
+  const std::optional<PutRoutes> routes =
+      this->routes_in_force ? std::optional(*this->routes_in_force)
+                            : std::nullopt;
   body(this->last_applied, this->last_list_change, this->latest, this->in_force,
-       this->changes, this->ledger);
+       this->changes, this->ledger, routes, this->last_routes_change);
   const std::string bytes = body.Take();
   ImageHeader header;
   header.body_checksum = Checksum(bytes);
@@ -83,7 +88,8 @@
   Image restored(this->settings);
   try {
     body(restored.applied, restored.lists_index, restored.latest,
-         restored.lists, restored.changes, restored.ledger);
+         restored.lists, restored.changes, restored.ledger, restored.routes,
+         restored.routes_index);
   } catch (const cereal::Exception& error) {
     return boost::leaf::new_error(
         ParseError{"body", kHeaderBytes + body.offset(), error.what()});
@@ -102,6 +108,11 @@
   this->last_applied = restored.applied;
   this->last_list_change = restored.lists_index;
   this->latest = restored.latest;
+  this->routes_in_force =
+      restored.routes
+          ? std::make_shared<const PutRoutes>(std::move(*restored.routes))
+          : nullptr;
+  this->last_routes_change = restored.routes_index;
   return {};
 }
 
--- a/src/tables/control_table.cc
+++ b/src/tables/control_table.cc
@@ -43,9 +43,17 @@
   for (auto& [index, edit] : *edits) {
     update.edits.push_back(std::move(edit));
   }
+  if (this->state.routes_index() > have) {
+    update.routes = this->state.routes()->table;
+  }
   return update;
 }
 
+std::shared_ptr<const PutRoutes> ControlTable::Routes() const {
+  const RankedLock lock(this->mutex);
+  return this->state.routes();
+}
+
 ListUpdate ControlTable::WholeUpdate() const {
   const RankedLock lock(this->mutex);
   return this->Whole();
@@ -75,6 +83,9 @@
   ListUpdate update;
   update.to = this->state.lists_index();
   update.whole = this->state.lists();
+  if (this->state.routes()) {
+    update.routes = this->state.routes()->table;
+  }
   return update;
 }
 
--- a/src/tables/control_table.h
+++ b/src/tables/control_table.h
@@ -2,6 +2,7 @@
 #define SRC_TABLES_CONTROL_TABLE_H_
 
 #include <cstddef>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -38,6 +39,8 @@
   // if `have` is zero or the edits are no longer held.
   ListUpdate UpdateAfter(LogIndex have) const;
   ListUpdate WholeUpdate() const;
+  // Null before the first route table.
+  std::shared_ptr<const PutRoutes> Routes() const;
   LogIndex lists_index() const;
   std::vector<ChangeRecord> History(std::size_t limit) const;
   // Without the subscribers.
--- /dev/null
+++ b/src/tables/forward_counters.h
@@ -0,0 +1,48 @@
+#ifndef SRC_TABLES_FORWARD_COUNTERS_H_
+#define SRC_TABLES_FORWARD_COUNTERS_H_
+
+#include <prometheus/counter.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <memory>
+#include <string>
+
+#include "src/core/units.h"
+
+namespace marigold {
+
+// Counts of forwarded requests, as served on the metrics address.
+class ForwardCounters {
+ public:
+  ForwardCounters();
+
+  // Commands.
+
+  // `state` is a stable text such as "answered".
+  void OnFinished(std::string_view state, Duration latency);
+  void OnSend(bool is_repeated);
+  void OnSendFailure(std::string_view failure);
+  void OnRefused(std::string_view reason);
+  void OnPartialAnswer();
+
+  // Queries.
+
+  // Prometheus text.
+  std::string Text() const;
+
+ private:
+  std::shared_ptr<prometheus::Registry> registry;
+  prometheus::Family<prometheus::Counter>& finished;
+  prometheus::Family<prometheus::Counter>& sends;
+  prometheus::Family<prometheus::Counter>& failures;
+  prometheus::Family<prometheus::Counter>& refusals;
+  prometheus::Counter& partial;
+  prometheus::Counter& first_sends;
+  prometheus::Counter& repeated_sends;
+  prometheus::Histogram& latencies;
+};
+
+}  // namespace marigold
+
+#endif  // SRC_TABLES_FORWARD_COUNTERS_H_
--- a/src/tables/list_table.cc
+++ b/src/tables/list_table.cc
@@ -50,6 +50,13 @@
       ApplyEdit(this->lists, edit);
     }
   }
+  if (update.routes) {
+    CheckInvariant(Invariant::kListNeverReverts,
+                   !this->routes ||
+                       update.routes->version >= this->routes->table().version,
+                   "a route table of an older version was offered");
+    this->routes = std::make_shared<const RouteIndex>(*update.routes);
+  }
   this->in_force = update.to;
   this->last_change = now;
   return ListUpdateResult::kApplied;
@@ -81,9 +88,18 @@
   return this->last_change;
 }
 
+std::shared_ptr<const RouteIndex> ListTable::Routes() const {
+  const RankedLock lock(this->mutex);
+  return this->routes;
+}
+
 ListUpdate ListTable::Whole() const {
   const RankedLock lock(this->mutex);
-  return {LogIndex(), this->in_force, this->lists, {}};
+  ListUpdate update{LogIndex(), this->in_force, this->lists, {}};
+  if (this->routes) {
+    update.routes = this->routes->table();
+  }
+  return update;
 }
 
 Lists ListTable::Copy() const {
--- a/src/tables/list_table.h
+++ b/src/tables/list_table.h
@@ -1,12 +1,14 @@
 #ifndef SRC_TABLES_LIST_TABLE_H_
 #define SRC_TABLES_LIST_TABLE_H_
 
+#include <memory>
 #include <optional>
 #include <vector>
 
 #include "src/commands/control_commands.h"
 #include "src/core/ranked_mutex.h"
 #include "src/core/units.h"
+#include "src/policy/routes.h"
 #include "src/tables/control_state.h"
 
 namespace marigold {
@@ -20,10 +22,12 @@
   LogIndex to;
   std::optional<Lists> whole;
   std::vector<PutRows> edits;
+  // The route table, if it has changed after `from`; always with whole lists.
+  std::optional<RouteTable> routes{};
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(this->from, this->to, this->whole, this->edits);
+    archive(this->from, this->to, this->whole, this->edits, this->routes);
   }
 };
 
@@ -45,7 +49,7 @@
   std::uint32_t weight = 1;
 };
 
-// The two lists in force on one entry VM, shared by all workers.
+// The two lists and the routes in force on one entry VM, shared by all workers.
 class ListTable {
  public:
   // Commands.
@@ -63,12 +67,15 @@
   MonotonicTime changed_at() const;
   // A copy of both lists, to serve peers and dumps.
   Lists Copy() const;
+  // Null before the first route table.
+  std::shared_ptr<const RouteIndex> Routes() const;
   // Both lists with the index that is in force, as an update.
   ListUpdate Whole() const;
 
  private:
   mutable RankedMutex<LockRank::kListTable> mutex;
   Lists lists;
+  std::shared_ptr<const RouteIndex> routes;
   LogIndex in_force;
   MonotonicTime last_change;
 };
--- a/src/wire/control_messages.h
+++ b/src/wire/control_messages.h
@@ -12,6 +12,7 @@
 #include "src/core/result.h"
 #include "src/core/settings_values.h"
 #include "src/core/verdict.h"
+#include "src/policy/listing.h"
 #include "src/replication/messages.h"
 #include "src/tables/control_state.h"
 #include "src/tables/control_status.h"
@@ -84,10 +85,44 @@
   LogIndex index;
   // From a control VM: whether it is in contact with a quorum.
   bool has_quorum = false;
+  // The rest comes from control VMs only. The listing that it holds, and how
+  // long ago the platform confirmed it; nothing without a listing.
+  ListingHash listing{};
+  std::optional<Duration> listing_age{};
+  // The part of limits that hold for all entry VMs together which the receiver
+  // may use. The parts never sum to more than 1.
+  double share = 0;
+  // Where the members of the control group listen.
+  std::vector<Endpoint> controls{};
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(this->index, this->has_quorum);
+    archive(this->index, this->has_quorum, this->listing, this->listing_age,
+            this->share, this->controls);
+  }
+};
+
+// From a leader to the control VMs, and from any of them to entry VMs, when the
+// platform's list has changed.
+struct ListingUpdate {
+  std::vector<ListedServer> servers;
+  // Since the platform answered.
+  Duration age{};
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->servers, this->age);
+  }
+};
+
+// From a leader to the control VMs: the list that they hold is still right.
+struct ListingConfirmed {
+  ListingHash listing;
+  Duration age{};
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->listing, this->age);
   }
 };
 
@@ -134,11 +169,13 @@
   bool has_quorum = false;
   std::optional<Lists> whole;
   std::optional<Endpoint> leader;
+  // With the lists, if there is a route table.
+  std::optional<RouteTable> routes{};
 
   template <class Archive>
   void serialize(Archive& archive) {
     archive(this->call, this->index, this->is_confirmed, this->has_quorum,
-            this->whole, this->leader);
+            this->whole, this->leader, this->routes);
   }
 };
 
@@ -222,7 +259,9 @@
                                     ReadHistory,
                                     HistoryReply,
                                     ChangeMembers,
-                                    ChangeMembersReply>;
+                                    ChangeMembersReply,
+                                    ListingUpdate,
+                                    ListingConfirmed>;
 
 std::string EncodeControlMessage(const ControlMessage& message);
 
--- a/tests/control_client_test.cc
+++ b/tests/control_client_test.cc
@@ -272,7 +272,8 @@
       peers[i]->leader = Address(2);
     }
   }
-  ControlClient client(pool, table, ClientSettings());
+  ListingTable listing;
+  ControlClient client(pool, table, listing, ClientSettings());
   std::promise<SubmitOutcome> outcome;
   client.Submit(ClaimAction(), std::chrono::milliseconds(1500),
                 [&](SubmitOutcome result) { outcome.set_value(result); });
@@ -301,7 +302,8 @@
   }
   ControlClientSettings settings = ClientSettings();
   settings.peers = {Address(3)};
-  ControlClient client(pool, table, settings);
+  ListingTable listing;
+  ControlClient client(pool, table, listing, settings);
   cr_assert(std::holds_alternative<bool>(Capture<bool>([&]() -> Result<bool> {
     BOOST_LEAF_CHECK(client.Start());
     return true;
@@ -317,7 +319,8 @@
 Test(ControlClient, IsNotSynchronisedWithoutLists) {
   ListTable table;
   WorkerPool pool(2);
-  ControlClient client(pool, table, ClientSettings());
+  ListingTable listing;
+  ControlClient client(pool, table, listing, ClientSettings());
   client.Start();
   const bool synchronised = Await(
       pool, [&] { return client.is_synchronised(); }, std::chrono::seconds(2));
@@ -334,7 +337,8 @@
     peers[i]->lists = ListsAt(5);
     peers[i]->most_heartbeats = 2;
   }
-  ControlClient client(pool, table, ClientSettings());
+  ListingTable listing;
+  ControlClient client(pool, table, listing, ClientSettings());
   client.Start();
   const bool replaced = Await(pool, [&] {
     return peers[0]->subscribers > 0 && peers[1]->subscribers > 0;
@@ -353,7 +357,8 @@
     peers[i] = std::make_unique<ScriptedPeer>(pool, Address(i + 1));
     peers[i]->has_quorum = i == 1;
   }
-  ControlClient client(pool, table, ClientSettings());
+  ListingTable listing;
+  ControlClient client(pool, table, listing, ClientSettings());
   client.Start();
   cr_assert(Await(pool, [&] { return peers[1]->subscribers > 0; }),
             "expected a stream to the VM with a quorum, actual none");
@@ -365,12 +370,13 @@
   WorkerPool pool(2);
   ControlClientSettings settings = ClientSettings();
   settings.listen = Address(5);
-  ControlClient serving(pool, tables[0], settings);
+  ListingTable listings[2];
+  ControlClient serving(pool, tables[0], listings[0], settings);
   serving.Start();
   tables[0].Apply(MonotonicTime(), ListsAt(7));
   settings.listen = {};
   settings.peers = {Address(5)};
-  ControlClient starting(pool, tables[1], settings);
+  ControlClient starting(pool, tables[1], listings[1], settings);
   starting.Start();
   cr_assert(Await(pool, [&] { return tables[1].index() == LogIndex(7); }),
             "expected index 7, actual %lu", tables[1].index().value());
--- a/tests/membership_test.cc
+++ b/tests/membership_test.cc
@@ -54,6 +54,8 @@
   // Empty for no change.
   const char* member;
   MemberRole role;
+  // Voters that the group should have; 0 for none.
+  std::size_t wanted = 0;
 };
 
 const RepairRow kRepairRows[] = {
@@ -63,6 +65,10 @@
     {4, {DiskId("b")}, {DiskId("x")}, "b", MemberRole::kSpare},
     {4, {DiskId("b")}, {}, "b", MemberRole::kSpare},
     {5, {DiskId("b"), DiskId("c")}, {DiskId("x")}, "x", MemberRole::kVoter},
+    {3, {}, {DiskId("x")}, "x", MemberRole::kVoter, 5},
+    {3, {}, {DiskId("x")}, "", MemberRole::kVoter, 3},
+    {4, {}, {DiskId("x")}, "x", MemberRole::kVoter, 5},
+    {3, {}, {}, "", MemberRole::kVoter, 5},
 };
 
 std::size_t AnsweringVoters(TestGroup& group) {
@@ -112,7 +118,8 @@
         TestGroup::MemberOf(TestGroup::Name(i), MemberRole::kVoter));
   }
   membership.members.push_back(TestGroup::MemberOf("x", MemberRole::kSpare));
-  const auto change = detail::PlanRepair(membership, row.lost, row.ready);
+  const auto change =
+      detail::PlanRepair(membership, row.lost, row.ready, row.wanted);
   const std::string actual = change ? change->member.disk.value() : "";
   cr_assert(
       actual == row.member && (!change || change->member.role == row.role),
--- a/tools/programs/marigold_control_load.cc
+++ b/tools/programs/marigold_control_load.cc
@@ -54,7 +54,10 @@
       : pool(worker_pool),
         queue(worker_pool),
         settings(load_settings),
-        client(worker_pool, this->lists, ClientSettings(load_settings)),
+        client(worker_pool,
+               this->lists,
+               this->listing,
+               ClientSettings(load_settings)),
         run_id(fmt::format("{:016x}", SystemSeed())) {}
 
   int Run() {
@@ -196,6 +199,7 @@
   const LoadSettings& settings;
   SystemClock clock;
   ListTable lists;
+  ListingTable listing;
   ControlClient client;
   std::string run_id;
   std::uint64_t first_version = 0;
