A reply of another server blocks its address, and refused connects too

Cause: the list shows servers that are gone for seconds, while their addresses belong to servers of other services. The replies also carry the mark of what did not run, which was read first. Besides, a server without a load report had an undefined cost. Change: a server is not chosen for 5 s after such a reply and for 0.2 to 2 s after a refused connect; only full servers are asked in rounds.

--- a/src/net/forward/forwarded_call.h
+++ b/src/net/forward/forwarded_call.h
@@ -188,12 +188,13 @@
   // Why a reply is not an answer, or nothing.
   std::optional<SendFailure> Judge(const BackendReply& reply,
                                    const ReplyHead& reply_head) const {
-    if (reply_head.not_executed) {
-      return SendFailure::kNotExecuted;
-    }
+    // Such a reply also says that the request did not run.
     if (reply_head.is_other_server) {
       return SendFailure::kOtherServer;
     }
+    if (reply_head.not_executed) {
+      return SendFailure::kNotExecuted;
+    }
     if (reply_head.is_encoded) {
       return SendFailure::kBadAnswer;
     }
--- a/src/policy/backend_directory.cc
+++ b/src/policy/backend_directory.cc
@@ -19,6 +19,9 @@
 
 constexpr Duration kFirstBackoff = std::chrono::milliseconds(200);
 constexpr Duration kLongestBackoff = std::chrono::seconds(2);
+// The list shows a server that is gone for some seconds, while its address may
+// belong to another one. What arrives there counts as the other one's load.
+constexpr Duration kOtherServerBlock = std::chrono::seconds(5);
 // A full server is asked again soon.
 constexpr Duration kFullBackoff = std::chrono::milliseconds(30);
 
@@ -146,9 +149,13 @@
       server.avoid_until = std::max(server.avoid_until, now + kFullBackoff);
       return;
     case SendFailure::kOtherServer:
-      server.avoid_until = now + kLongestBackoff;
+      server.blocked_until = now + kOtherServerBlock;
       return;
     case SendFailure::kNotConnected:
+      server.backoff =
+          std::clamp(server.backoff * 2, kFirstBackoff, kLongestBackoff);
+      server.blocked_until = now + server.backoff;
+      return;
     case SendFailure::kConnectionLost:
     case SendFailure::kBadAnswer:
     case SendFailure::kServerError:
@@ -255,7 +262,7 @@
   this->candidates.clear();
   for (const ServerIndex index : service.members) {
     const Server& server = this->At(index);
-    if (server.is_usable &&
+    if (server.is_usable && now >= server.blocked_until &&
         std::find(tried.begin(), tried.end(), index) == tried.end()) {
       this->candidates.push_back(this->ViewOf(now, index, server, expected));
     }
--- a/src/policy/backend_directory.h
+++ b/src/policy/backend_directory.h
@@ -129,9 +129,12 @@
     MonotonicTime slowness_at;
     // Not used before this unless no other server is left.
     MonotonicTime avoid_until = MonotonicTime::min();
+    // Not used before this at all: nothing listens at its address, or another
+    // server does.
+    MonotonicTime blocked_until = MonotonicTime::min();
     Duration backoff{};
     std::uint32_t reported_load = 0;
-    MonotonicTime reported_at = MonotonicTime::min();
+    MonotonicTime reported_at{};
     // The last answer, or when the oldest attempt without one began.
     MonotonicTime silent_since;
     MonotonicTime usable_since;
--- a/src/policy/forwarding.h
+++ b/src/policy/forwarding.h
@@ -135,6 +135,7 @@
     if (SurelyNotRun(failure)) {
       --target.may_have_run;
     }
+    target.is_full = target.is_full || failure == SendFailure::kNotExecuted;
     if (failure == SendFailure::kNotConnected) {
       // Nothing arrived, so the next send is not a repeated one.
       --target.arrived;
@@ -190,6 +191,8 @@
     // Sends that reached a server, and those of them that may have run.
     std::uint32_t arrived = 0;
     std::uint32_t may_have_run = 0;
+    // A server had no room for it.
+    bool is_full = false;
     // Rounds over all servers that ended without one that takes the request.
     std::uint32_t rounds = 0;
     bool is_answered = false;
@@ -242,13 +245,13 @@
     steps.push_back(StartSend{id, index, *server});
   }
 
-  // All servers were tried or none is known; those that did not run the request
-  // may be asked again.
+  // All servers were tried; those that were full may be asked again.
   void PlanRound(MonotonicTime now, Target& target) {
-    if (target.live > 0 || target.rounds >= kMostRounds) {
+    if (target.live > 0 || !target.is_full || target.rounds >= kMostRounds) {
       return;
     }
     ++target.rounds;
+    target.is_full = false;
     target.tried.clear();
     target.next_send = now + kRoundPause;
   }
--- /dev/null
+++ b/tests/backend_directory_test.cc
@@ -0,0 +1,134 @@
+#include <criterion/criterion.h>
+
+#include <optional>
+#include <vector>
+
+#include "src/core/random.h"
+#include "src/policy/backend_directory.h"
+#include "tests/row_indices.h"
+
+namespace marigold {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const ServiceId kService("shard-1");
+
+ListedServer Row(const char* id, const char* data_centre) {
+  ListedServer row;
+  row.server = BackendServerId(id);
+  row.service = kService;
+  row.endpoint = {"127.0.0.1", 9000};
+  row.data_centre = DataCentreId(data_centre);
+  row.slots = 3;
+  return row;
+}
+
+// Three servers; the first one is in the entry VM's data centre.
+struct Fixture {
+  Fixture() : directory({DataCentreId("here"), {}}) {
+    this->rows = {Row("a", "here"), Row("b", "there"), Row("c", "there")};
+    this->directory.Apply(this->now, this->rows);
+  }
+
+  std::optional<ServerIndex> Place(const std::vector<ServerIndex>& tried = {}) {
+    return this->directory.Place(this->now, kService, milliseconds(10), tried,
+                                 NearestIdle(), this->random);
+  }
+
+  std::string NameOf(const std::optional<ServerIndex>& server) const {
+    return server ? this->directory.Listed(*server).server.value() : "";
+  }
+
+  MonotonicTime now{seconds(100)};
+  std::vector<ListedServer> rows;
+  BackendDirectory directory;
+  SeededRandom random{1};
+};
+
+struct FailureRow {
+  SendFailure failure;
+  // The failed server is chosen again although others are left.
+  bool chosen_beside_others;
+  // It is chosen after `wait` when no other server is left.
+  bool chosen_alone;
+  Duration wait;
+};
+
+const FailureRow kFailureRows[] = {
+    {SendFailure::kNotExecuted, false, true, Duration::zero()},
+    {SendFailure::kServerError, false, true, Duration::zero()},
+    {SendFailure::kConnectionLost, false, true, Duration::zero()},
+    {SendFailure::kNotConnected, false, false, milliseconds(150)},
+    {SendFailure::kNotConnected, false, true, milliseconds(250)},
+    {SendFailure::kOtherServer, false, false, seconds(4)},
+    {SendFailure::kOtherServer, false, true, seconds(6)},
+};
+
+}  // namespace
+
+ParameterizedTestParameters(BackendDirectory, FailedServerIsPassedOver) {
+  return RowIndices(kFailureRows);
+}
+
+// Guards against repeated sends to an address where nobody or somebody else
+// listens: each counts as load of whoever gets it.
+ParameterizedTest(std::size_t* index,
+                  BackendDirectory,
+                  FailedServerIsPassedOver) {
+  const FailureRow& row = kFailureRows[*index];
+  Fixture fixture;
+  const auto first = fixture.Place();
+  cr_assert_eq(fixture.NameOf(first), std::string("a"), "row %zu", *index);
+  fixture.directory.OnFailure(fixture.now, *first, row.failure);
+  const bool beside_others = fixture.NameOf(fixture.Place()) == "a";
+  fixture.now += row.wait;
+  const bool alone =
+      fixture.NameOf(fixture.Place({ServerIndex(2), ServerIndex(3)})) == "a";
+  cr_assert_eq(beside_others, row.chosen_beside_others, "row %zu: actual %d",
+               *index, beside_others);
+  cr_assert_eq(alone, row.chosen_alone, "row %zu: actual %d", *index, alone);
+}
+
+// Guards against work for a server that leaves.
+Test(BackendDirectory, DrainingServerGetsNoWork) {
+  Fixture fixture;
+  fixture.rows[0].is_draining = true;
+  const auto retired = fixture.directory.Apply(fixture.now, fixture.rows);
+  cr_assert_eq(retired.size(), 1U, "expected 1, actual %zu", retired.size());
+  for (int i = 0; i < 20; ++i) {
+    const auto placed = fixture.Place();
+    cr_assert_neq(fixture.NameOf(placed), std::string("a"));
+    fixture.directory.OnCancelled(fixture.now, *placed, Duration::zero(),
+                                  Duration::zero());
+  }
+}
+
+// Guards against observations of a former process that count for the next one.
+Test(BackendDirectory, RestartUnderTheSameIdIsAnotherServer) {
+  Fixture fixture;
+  const auto first = fixture.Place();
+  fixture.directory.OnFailure(fixture.now, *first, SendFailure::kOtherServer);
+  fixture.rows[0].started_at_ms = 1;
+  fixture.directory.Apply(fixture.now, fixture.rows);
+  const auto again = fixture.Place();
+  cr_assert_eq(fixture.NameOf(again), std::string("a"));
+  cr_assert_neq(*again, *first);
+}
+
+// Guards against queries that go on waiting behind a slow server.
+Test(BackendDirectory, SlowServerIsPassedOverAndTriedAgainLater) {
+  Fixture fixture;
+  for (int i = 0; i < 5; ++i) {
+    const auto placed = fixture.Place({ServerIndex(2), ServerIndex(3)});
+    fixture.directory.OnAnswer(fixture.now, *placed, milliseconds(200),
+                               milliseconds(10), std::nullopt);
+  }
+  cr_assert_neq(fixture.NameOf(fixture.Place()), std::string("a"));
+  fixture.now += seconds(60);
+  cr_assert_eq(fixture.NameOf(fixture.Place()), std::string("a"));
+}
+
+}  // namespace marigold
