Unreachable data centres are noticed, and elections are faster

A control VM that had just heard a leader said that it had a quorum before it had applied what was committed. Change: a data centre whose servers are silent for 300 ms gets one attempt per 250 ms; a request whose targets can't be reached is refused before any send; an entry VM that can't serve a fan-out route for that reason leaves the rotation.

--- a/src/net/control_driver.h
+++ b/src/net/control_driver.h
@@ -76,7 +76,8 @@
 class ControlDriver {
  public:
   // Opens the data folder; fails with `IoError` and `ParseError`.
-  // `on_lists_changed` is called after the table's lists have changed.
+  // `on_lists_changed` is called after the table's lists or the contact with a
+  // quorum have changed.
   static Result<std::unique_ptr<ControlDriver>> Open(
       WorkerPool& pool,
       ControlTable& table,
--- a/src/net/control_driver_inputs.cc
+++ b/src/net/control_driver_inputs.cc
@@ -17,7 +17,7 @@
 constexpr Duration kLongestHold = std::chrono::milliseconds(2);
 
 constexpr Duration kFormingInterval = std::chrono::milliseconds(100);
-constexpr Duration kJoiningInterval = std::chrono::seconds(1);
+constexpr Duration kJoiningInterval = std::chrono::milliseconds(300);
 
 constexpr Duration kRetryAfter = std::chrono::milliseconds(200);
 
--- a/src/net/control_driver_outputs.cc
+++ b/src/net/control_driver_outputs.cc
@@ -152,7 +152,9 @@
     status.is_leader = member.role() == ReplicaRole::kLeader;
     status.has_quorum = status.is_leader
                             ? member.ReadIndex(this->clock.Now()).has_value()
-                            : member.leader().has_value();
+                            : member.leader().has_value() &&
+                                  member.has_committed_in_term() &&
+                                  this->applied >= member.commit_index();
     status.storage_failed = member.storage_failed();
     status.is_probationary = member.is_probationary();
     status.leader = member.leader();
@@ -162,13 +164,16 @@
     status.last = member.last_index();
     status.snapshot = member.snapshot_index();
   }
+  this->has_quorum = status.has_quorum;
   this->table.Publish(std::move(status));
 }
 
 void ControlDriver::Impl::ReportListsChanged() {
   const LogIndex lists = this->table.lists_index();
-  if (lists != this->reported_lists) {
+  if (lists != this->reported_lists ||
+      this->has_quorum != this->reported_quorum) {
     this->reported_lists = lists;
+    this->reported_quorum = this->has_quorum;
     this->Deliver(this->on_lists_changed);
   }
 }
--- a/src/net/detail/control_driver_impl.h
+++ b/src/net/detail/control_driver_impl.h
@@ -154,6 +154,8 @@
   std::function<void()> on_drained;
   LogIndex applied;
   LogIndex reported_lists;
+  bool has_quorum = false;
+  bool reported_quorum = false;
   // Payload bytes applied since the last snapshot, and that snapshot's size.
   std::uint64_t applied_bytes = 0;
   std::uint64_t snapshot_bytes = 0;
--- a/src/net/forward/backend_link.cc
+++ b/src/net/forward/backend_link.cc
@@ -293,7 +293,7 @@
                                  if (const auto self = weak.lock()) {
                                    self->timer.reset();
                                    self->Fail(self->state == State::kConnecting
-                                                  ? SendFailure::kNotConnected
+                                                  ? SendFailure::kUnreachable
                                                   : SendFailure::kTimeout);
                                  }
                                });
--- a/src/net/subscriber_hub.cc
+++ b/src/net/subscriber_hub.cc
@@ -91,6 +91,7 @@
       }
     }
     this->is_push_scheduled = false;
+    this->AnnounceQuorum();
     if (this->HasPushes(this->table.lists_index())) {
       this->SchedulePush(kPushInterval);
     }
@@ -194,7 +195,16 @@
     }
   }
 
-  void SendHeartbeats() {
+  // Entry VMs that start wait for a control VM with a quorum, and others leave
+  // one that has lost it.
+  void AnnounceQuorum() {
+    const bool has_quorum = this->table.Status().has_quorum;
+    if (this->announced_quorum.exchange(has_quorum) != has_quorum) {
+      this->SendHeartbeat();
+    }
+  }
+
+  void SendHeartbeat() {
     const std::string body = EncodeControlMessage(this->MakeHeartbeat());
     std::vector<std::shared_ptr<FramedConnection>> connections;
     {
@@ -206,6 +216,10 @@
     for (const auto& connection : connections) {
       connection->Send(body);
     }
+  }
+
+  void SendHeartbeats() {
+    this->SendHeartbeat();
     auto again = [weak = this->weak_from_this()] {
       if (const auto self = weak.lock()) {
         self->SendHeartbeats();
@@ -222,6 +236,7 @@
   const Duration heartbeat_interval;
   SystemClock clock;
   std::atomic<bool> is_push_scheduled = false;
+  std::atomic<bool> announced_quorum = false;
   mutable RankedMutex<LockRank::kSubscribers> mutex;
   std::map<const FramedConnection*, Subscriber> subscribers;
   TimerHandle push_timer;
--- a/src/net/subscriber_hub.h
+++ b/src/net/subscriber_hub.h
@@ -38,7 +38,7 @@
   void OnHeartbeat(const FramedConnection& connection,
                    const StreamHeartbeat& heartbeat);
   void OnClosed(const FramedConnection& connection);
-  // The table's lists have changed.
+  // The table's lists or the contact with a quorum have changed.
   void NotifyListsChanged();
   // The listing's rows have changed.
   void NotifyListingChanged();
--- a/src/policy/backend_directory.cc
+++ b/src/policy/backend_directory.cc
@@ -17,6 +17,17 @@
 // A starting server is this much slower.
 constexpr double kColdSlowness = 1.6;
 
+// An attempt that has waited this much longer than a typical one, and no
+// shorter than a pause of a server, is silent.
+constexpr int kSilentOverTypical = 4;
+constexpr Duration kShortestSilence = std::chrono::milliseconds(60);
+// Silent attempts in a row that make a data centre cut off, if none of its
+// servers has answered for the given time. It then gets one attempt an interval
+// to see whether it has come back.
+constexpr std::uint32_t kSilentAttempts = 4;
+constexpr Duration kCutOffAfter = std::chrono::milliseconds(300);
+constexpr Duration kProbeInterval = std::chrono::milliseconds(250);
+
 constexpr Duration kFirstBackoff = std::chrono::milliseconds(200);
 constexpr Duration kLongestBackoff = std::chrono::seconds(2);
 // The list shows a server that is gone for some seconds, while its address may
@@ -38,6 +49,8 @@
       return "not_connected";
     case SendFailure::kNotExecuted:
       return "not_executed";
+    case SendFailure::kUnreachable:
+      return "unreachable";
     case SendFailure::kOtherServer:
       return "other_server";
     case SendFailure::kConnectionLost:
@@ -54,6 +67,7 @@
 
 bool SurelyNotRun(SendFailure failure) {
   return failure == SendFailure::kNotConnected ||
+         failure == SendFailure::kUnreachable ||
          failure == SendFailure::kNotExecuted ||
          failure == SendFailure::kOtherServer;
 }
@@ -130,6 +144,9 @@
     this->AddSlowness(now, server, Ratio(latency, expected));
   }
   server.silent_since = now;
+  DataCentre& data_centre = this->data_centres[server.listed.data_centre];
+  data_centre.last_answer = now;
+  data_centre.silent = 0;
   server.backoff = Duration::zero();
   server.avoid_until = MonotonicTime::min();
   if (load) {
@@ -151,15 +168,20 @@
     case SendFailure::kOtherServer:
       server.blocked_until = now + kOtherServerBlock;
       return;
+    case SendFailure::kUnreachable:
+      this->OnSilent(server);
+      [[fallthrough]];
     case SendFailure::kNotConnected:
       server.backoff =
           std::clamp(server.backoff * 2, kFirstBackoff, kLongestBackoff);
       server.blocked_until = now + server.backoff;
       return;
+    case SendFailure::kTimeout:
+      this->OnSilent(server);
+      [[fallthrough]];
     case SendFailure::kConnectionLost:
     case SendFailure::kBadAnswer:
     case SendFailure::kServerError:
-    case SendFailure::kTimeout:
       server.backoff =
           std::clamp(server.backoff * 2, kFirstBackoff, kLongestBackoff);
       server.avoid_until = now + server.backoff;
@@ -177,6 +199,9 @@
   if (expected > Duration::zero() && sample > this->SlownessOf(now, server)) {
     this->AddSlowness(now, server, sample);
   }
+  if (elapsed >= std::max(expected * kSilentOverTypical, kShortestSilence)) {
+    this->OnSilent(server);
+  }
   this->EndAttempt(server);
 }
 
@@ -196,15 +221,41 @@
                                         : found->second.Quantile(quantile);
 }
 
-std::size_t BackendDirectory::UsableServers(const ServiceId& service) const {
+bool BackendDirectory::IsReachable(MonotonicTime now,
+                                   const ServiceId& service) const {
   const auto found = this->services.find(service);
-  if (found == this->services.end()) {
-    return 0;
+  return found != this->services.end() &&
+         std::any_of(found->second.members.begin(), found->second.members.end(),
+                     [&](ServerIndex index) {
+                       return this->IsOpen(now, this->At(index));
+                     });
+}
+
+bool BackendDirectory::HasCutOff(MonotonicTime now) const {
+  return std::any_of(
+      this->data_centres.begin(), this->data_centres.end(),
+      [&](const auto& item) { return this->IsCutOff(now, item.first); });
+}
+
+bool BackendDirectory::IsCutOff(MonotonicTime now,
+                                const DataCentreId& data_centre) const {
+  const auto found = this->data_centres.find(data_centre);
+  return found != this->data_centres.end() &&
+         found->second.silent >= kSilentAttempts &&
+         now - found->second.last_answer > kCutOffAfter;
+}
+
+bool BackendDirectory::IsOpen(MonotonicTime now, const Server& server) const {
+  if (!server.is_usable || now < server.blocked_until) {
+    return false;
   }
-  const auto& members = found->second.members;
-  return static_cast<std::size_t>(std::count_if(
-      members.begin(), members.end(),
-      [this](ServerIndex index) { return this->At(index).is_usable; }));
+  const DataCentreId& data_centre = server.listed.data_centre;
+  return !this->IsCutOff(now, data_centre) ||
+         now >= this->data_centres.at(data_centre).next_probe;
+}
+
+void BackendDirectory::OnSilent(const Server& server) {
+  ++this->data_centres[server.listed.data_centre].silent;
 }
 
 BackendDirectory::Server& BackendDirectory::At(ServerIndex server) {
@@ -262,7 +313,7 @@
   this->candidates.clear();
   for (const ServerIndex index : service.members) {
     const Server& server = this->At(index);
-    if (server.is_usable && now >= server.blocked_until &&
+    if (this->IsOpen(now, server) &&
         std::find(tried.begin(), tried.end(), index) == tried.end()) {
       this->candidates.push_back(this->ViewOf(now, index, server, expected));
     }
@@ -275,6 +326,10 @@
     server.silent_since = now;
   }
   ++server.in_flight;
+  const DataCentreId& data_centre = server.listed.data_centre;
+  if (this->IsCutOff(now, data_centre)) {
+    this->data_centres[data_centre].next_probe = now + kProbeInterval;
+  }
 }
 
 void BackendDirectory::EndAttempt(Server& server) {
--- a/src/policy/backend_directory.h
+++ b/src/policy/backend_directory.h
@@ -22,8 +22,10 @@
 
 // How an attempt at a backend server failed.
 enum class SendFailure {
-  // No connection was opened in time, or it was refused; nothing was sent.
+  // A connection was refused; nothing was sent.
   kNotConnected,
+  // No connection was opened in time; nothing was sent.
+  kUnreachable,
   // The server said that it did not run the request.
   kNotExecuted,
   // The server is another one than expected; nothing ran.
@@ -116,7 +118,10 @@
   // servers; nothing with too few answers.
   std::optional<Duration> LatencyQuantile(const RouteName& route,
                                           Fraction share) const;
-  std::size_t UsableServers(const ServiceId& service) const;
+  // True if some server of the service could get an attempt now.
+  bool IsReachable(MonotonicTime now, const ServiceId& service) const;
+  // True if some data centre does not answer.
+  bool HasCutOff(MonotonicTime now) const;
   std::size_t size() const { return this->servers.size(); }
 
  private:
@@ -145,6 +150,14 @@
     RetryBudget retries;
   };
 
+  // What shows that a data centre can't be reached.
+  struct DataCentre {
+    MonotonicTime last_answer;
+    // Attempts without an answer since then.
+    std::uint32_t silent = 0;
+    MonotonicTime next_probe;
+  };
+
   // Identifies a server's start.
   struct ServerKey {
     BackendServerId server;
@@ -164,6 +177,10 @@
 
   Server& At(ServerIndex server);
   const Server& At(ServerIndex server) const;
+  bool IsCutOff(MonotonicTime now, const DataCentreId& data_centre) const;
+  // True if the server may get an attempt.
+  bool IsOpen(MonotonicTime now, const Server& server) const;
+  void OnSilent(const Server& server);
   ServerIndex Adopt(MonotonicTime now, const ListedServer& listed);
   double SlownessOf(MonotonicTime now, const Server& server) const;
   void AddSlowness(MonotonicTime now, Server& server, double sample);
@@ -185,6 +202,7 @@
   std::unordered_map<ServerKey, ServerIndex, ServerKeyHash> index_by_key;
   std::unordered_map<ServiceId, Service> services;
   std::unordered_map<RouteName, LatencyDigest> latencies;
+  std::unordered_map<DataCentreId, DataCentre> data_centres;
   // Used only during `Place`; kept to reuse its memory.
   std::vector<ServerView> candidates;
 };
--- a/src/policy/forwarding.h
+++ b/src/policy/forwarding.h
@@ -80,6 +80,10 @@
 
   Steps Start(MonotonicTime now) {
     Steps steps;
+    if (!this->CanSuffice(now)) {
+      this->Finish(now, ForwardState::kNotRun, steps);
+      return steps;
+    }
     this->timing = this->table.Access([&](BackendDirectory& directory) {
       return TimingOf(directory, this->plan.route, this->plan.times);
     });
@@ -136,7 +140,8 @@
       --target.may_have_run;
     }
     target.is_full = target.is_full || failure == SendFailure::kNotExecuted;
-    if (failure == SendFailure::kNotConnected) {
+    if (failure == SendFailure::kNotConnected ||
+        failure == SendFailure::kUnreachable) {
       // Nothing arrived, so the next send is not a repeated one.
       --target.arrived;
     }
@@ -205,6 +210,19 @@
 
   Send& At(SendId id) { return this->sends[id.value()]; }
 
+  // False if too many targets have no server that can be reached, so that
+  // sending to the others would be in vain.
+  bool CanSuffice(MonotonicTime now) const {
+    return this->table.Access([&](BackendDirectory& directory) {
+      const auto lost = static_cast<std::size_t>(
+          std::count_if(this->plan.targets.begin(), this->plan.targets.end(),
+                        [&](const ServiceId& service) {
+                          return !directory.IsReachable(now, service);
+                        }));
+      return lost < this->targets.size() && !this->CanNotSuffice(lost);
+    });
+  }
+
   // Sends to one more server of the target, if that is allowed.
   void TrySend(MonotonicTime now, std::size_t index, Steps& steps) {
     Target& target = this->targets[index];
--- /dev/null
+++ b/src/policy/route_reach.cc
@@ -0,0 +1,32 @@
+#include "src/policy/route_reach.h"
+
+#include <algorithm>
+
+namespace marigold {
+
+namespace {
+
+bool IsUnservable(const BackendDirectory& directory,
+                  MonotonicTime now,
+                  const FanOut& fan_out) {
+  const auto reachable =
+      std::count_if(fan_out.shards.begin(), fan_out.shards.end(),
+                    [&](const ServiceId& shard) {
+                      return directory.IsReachable(now, shard);
+                    });
+  const auto all = static_cast<double>(fan_out.shards.size());
+  return static_cast<double>(reachable) < fan_out.minimum_coverage * all;
+}
+
+}  // namespace
+
+bool HasUnservableRoute(const BackendDirectory& directory,
+                        MonotonicTime now,
+                        const RouteTable& table) {
+  return std::any_of(
+      table.routes.begin(), table.routes.end(), [&](const Route& route) {
+        return route.fan_out && IsUnservable(directory, now, *route.fan_out);
+      });
+}
+
+}  // namespace marigold
--- a/src/programs/forward_process.h
+++ b/src/programs/forward_process.h
@@ -18,6 +18,7 @@
 #include "src/net/http_server.h"
 #include "src/net/listing_poller.h"
 #include "src/policy/listing_turn.h"
+#include "src/policy/route_reach.h"
 #include "src/programs/forward_settings.h"
 
 namespace marigold {
@@ -179,7 +180,8 @@
     response.content_type = "text/plain; version=0.0.4";
     if (request.path == this->settings.ready_path) {
       const bool is_ready = !this->is_leaving && this->knows_routes() &&
-                            this->listing.Summary().observed_at.has_value();
+                            this->listing.Summary().observed_at.has_value() &&
+                            !this->IsCutOff();
       response.status = is_ready ? response.status : kStatusUnavailable;
       response.body = is_ready ? "ready" : "not ready";
     } else if (request.path == "/metrics") {
@@ -194,6 +196,17 @@
     return response;
   }
 
+  // True while data centres that can't be reached leave too few shards for some
+  // route; callers are then better served by another data centre.
+  bool IsCutOff() const {
+    const auto routes = this->lists.Routes();
+    const MonotonicTime now = this->clock.Now();
+    return this->backends.Access([&](const BackendDirectory& directory) {
+      return directory.HasCutOff(now) &&
+             HasUnservableRoute(directory, now, routes->table());
+    });
+  }
+
   std::string State() const {
     const auto routes = this->lists.Routes();
     const ListingSummary summary = this->listing.Summary();
@@ -236,7 +249,7 @@
   // The tables outlive the pool, whose threads may still use them.
   ListTable lists;
   ListingTable listing;
-  BackendTable backends;
+  mutable BackendTable backends;
   ForwardCounters counters;
   std::atomic<bool> is_leaving = false;
   WorkerPool pool;
--- a/src/replication/replica.h
+++ b/src/replication/replica.h
@@ -96,6 +96,12 @@
   const DiskId& disk() const { return this->node().disk; }
   Term term() const { return this->node().hard.term; }
   LogIndex commit_index() const { return this->node().commit; }
+  // True once an entry of the present term is committed here; then everything
+  // that was committed in earlier terms is, too.
+  bool has_committed_in_term() const {
+    return this->node().log.TermAt(this->node().commit) ==
+           this->node().hard.term;
+  }
   LogIndex last_index() const { return this->node().log.last_index(); }
   LogIndex snapshot_index() const { return this->node().log.snapshot_index(); }
   const Membership& membership() const { return this->node().membership(); }
