--- a/tests/backend_directory_test.cc
+++ b/tests/backend_directory_test.cc
@@ -131,4 +131,34 @@
   cr_assert_eq(fixture.NameOf(fixture.Place()), std::string("a"));
 }
 
+// Guards against a server that sheds most requests and gets its whole share.
+Test(BackendDirectory, ServerThatOftenFailsIsPassedOver) {
+  Fixture fixture;
+  for (int i = 0; i < 8; ++i) {
+    const auto placed = fixture.Place({ServerIndex(2), ServerIndex(3)});
+    fixture.directory.OnFailure(fixture.now, *placed,
+                                SendFailure::kNotExecuted);
+    fixture.now += milliseconds(50);
+  }
+  cr_assert_neq(fixture.NameOf(fixture.Place()), std::string("a"));
+}
+
+// Guards against requests that wait for a data centre that is cut off.
+Test(BackendDirectory, SilentDataCentreIsCutOffUntilAProbeIsAnswered) {
+  Fixture fixture;
+  const std::vector<ServerIndex> local{ServerIndex(1)};
+  for (int i = 0; i < 4; ++i) {
+    const auto placed = fixture.Place(local);
+    fixture.directory.OnFailure(fixture.now, *placed, SendFailure::kTimeout);
+  }
+  fixture.now += milliseconds(400);
+  cr_assert(fixture.directory.HasCutOff(fixture.now));
+  const auto probe = fixture.Place(local);
+  cr_assert(probe.has_value(), "one attempt probes");
+  cr_assert_not(fixture.Place(local).has_value(), "only one attempt probes");
+  fixture.directory.OnAnswer(fixture.now, *probe, milliseconds(10),
+                             milliseconds(10), std::nullopt);
+  cr_assert(fixture.Place(local).has_value(), "the answer ends the cut");
+}
+
 }  // namespace marigold
--- /dev/null
+++ b/tests/record_merge_test.cc
@@ -0,0 +1,66 @@
+#include <criterion/criterion.h>
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "src/policy/record_merge.h"
+#include "tests/row_indices.h"
+
+namespace marigold {
+
+namespace {
+
+// A record of 16 equal bytes for each letter.
+std::string Records(std::string_view letters) {
+  std::string bytes;
+  for (const char letter : letters) {
+    bytes.append(kRecordBytes, letter);
+  }
+  return bytes;
+}
+
+struct MergeRow {
+  std::vector<const char*> parts;
+  std::size_t most;
+  const char* expected;
+};
+
+const MergeRow kMergeRows[] = {
+    {{"acb", "bd"}, 3, "dcb"},
+    {{"aa", "a"}, 5, "aaa"},
+    {{"a", "z", "m"}, 1, "z"},
+    {{"", "b"}, 2, "b"},
+    {{}, 3, ""},
+    {{"abc"}, 0, ""},
+    // Bytes are compared without a sign.
+    {{"a\xff", "z"}, 2, "\xffz"},
+};
+
+}  // namespace
+
+ParameterizedTestParameters(RecordMerge, GreatestRecordsComeFirst) {
+  return RowIndices(kMergeRows);
+}
+
+// Guards against records that are lost, doubled or in the wrong order.
+ParameterizedTest(std::size_t* index, RecordMerge, GreatestRecordsComeFirst) {
+  const MergeRow& row = kMergeRows[*index];
+  std::vector<std::string> bodies;
+  for (const char* part : row.parts) {
+    bodies.push_back(Records(part));
+  }
+  const std::vector<std::string_view> views(bodies.begin(), bodies.end());
+  const std::string actual = MergeRecords(views, row.most);
+  cr_assert(actual == Records(row.expected), "row %zu: actual %zu bytes %s",
+            *index, actual.size(), actual.c_str());
+}
+
+// Guards against a record made of the remainder of a part.
+Test(RecordMerge, RemainderIsNoRecord) {
+  const std::string part = Records("a") + "zzz";
+  const std::string_view views[] = {part};
+  cr_assert(MergeRecords(views, 5) == Records("a"));
+}
+
+}  // namespace marigold
--- /dev/null
+++ b/tests/retry_budget_test.cc
@@ -0,0 +1,76 @@
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <vector>
+
+#include "src/policy/retry_budget.h"
+#include "tests/row_indices.h"
+
+namespace marigold {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+struct LoadRow {
+  const char* behaviour;
+  // Requests a second, by phase of five seconds.
+  std::vector<int> rates;
+  double share;
+};
+
+const LoadRow kLoadRows[] = {
+    {"steady load", {100, 100, 100, 100}, 0.1},
+    {"a burst that ends", {500, 500, 0, 0}, 0.1},
+    {"load that begins", {0, 0, 300, 300}, 0.1},
+    {"no load", {0, 0, 0, 0}, 0.05},
+    {"no share of the minimum", {50, 0, 50, 0}, 0},
+};
+
+}  // namespace
+
+ParameterizedTestParameters(RetryBudget, NoWindowExceedsTheBudget) {
+  return RowIndices(kLoadRows);
+}
+
+// Guards against repeated sends beyond the budget in any window of its length,
+// when as many as allowed are sent all the time.
+ParameterizedTest(std::size_t* index, RetryBudget, NoWindowExceedsTheBudget) {
+  const LoadRow& row = kLoadRows[*index];
+  const RetryBudgetSettings settings{Fraction(0.2), 120, seconds(10)};
+  RetryBudget budget;
+  std::vector<Duration> requests;
+  std::vector<Duration> extra;
+  const Duration step = milliseconds(10);
+  const MonotonicTime start(seconds(1'000));
+  for (Duration at{}; at < seconds(5) * row.rates.size(); at += step) {
+    const auto phase = static_cast<std::size_t>(at / seconds(5));
+    for (int i = 0; i < row.rates[phase] / 100; ++i) {
+      budget.OnRequest(settings, start + at);
+      requests.push_back(at);
+    }
+    while (budget.TrySpend(settings, start + at, Fraction(row.share))) {
+      extra.push_back(at);
+    }
+  }
+  const auto within = [](const std::vector<Duration>& times, Duration from) {
+    return static_cast<double>(
+        std::count_if(times.begin(), times.end(), [&](Duration time) {
+          return time >= from && time < from + seconds(10);
+        }));
+  };
+  for (Duration from = -seconds(10); from < seconds(20);
+       from += milliseconds(250)) {
+    const double most =
+        std::max({within(requests, from), within(requests, from - seconds(10)),
+                  within(requests, from - seconds(5))});
+    const double allowed = 0.2 * most + 120 * row.share;
+    const double actual = within(extra, from);
+    cr_assert(actual <= allowed,
+              "%s from %lld ms: expected at most %f, actual %f", row.behaviour,
+              static_cast<long long>(from.count() / 1000), allowed, actual);
+  }
+}
+
+}  // namespace marigold
--- /dev/null
+++ b/tests/routes_test.cc
@@ -0,0 +1,150 @@
+#include <criterion/criterion.h>
+
+#include <string>
+#include <vector>
+
+#include "src/policy/routes.h"
+#include "src/policy/weighted_choice.h"
+#include "tests/row_indices.h"
+
+namespace marigold {
+
+namespace {
+
+Route MakeRoute(const char* name, const char* host, const char* prefix) {
+  Route route;
+  route.name = RouteName(name);
+  route.host = host;
+  route.path_prefix = prefix;
+  route.time_limit = std::chrono::milliseconds(100);
+  route.services = {{ServiceId("one"), 1}};
+  return route;
+}
+
+RouteTable ValidTable() {
+  RouteTable table;
+  table.version = RouteVersion(1);
+  table.services = {{ServiceId("one"), "/health", 10},
+                    {ServiceId("two"), "/health", 20}};
+  table.routes = {MakeRoute("root", "a.example", "/"),
+                  MakeRoute("short", "a.example", "/x/"),
+                  MakeRoute("long", "a.example", "/x/y/"),
+                  MakeRoute("other", "b.example", "/x/")};
+  return table;
+}
+
+struct MatchRow {
+  const char* host;
+  const char* path;
+  // Empty for no route.
+  const char* expected;
+};
+
+const MatchRow kMatchRows[] = {
+    {"a.example", "/x/y/z", "long"},   {"a.example", "/x/y", "short"},
+    {"a.example", "/x/y/", "long"},    {"a.example", "/x", "root"},
+    {"a.example:80", "/x/1", "short"}, {"a.example", "/x/1?q=/x/y/", "short"},
+    {"b.example", "/x/y/z", "other"},  {"b.example", "/y/", ""},
+    {"c.example", "/x/", ""},          {"a.example", "", ""},
+};
+
+struct CheckRow {
+  const char* behaviour;
+  void (*change)(RouteTable&);
+  // Part of the only error, or empty for a valid table.
+  const char* expected;
+};
+
+const CheckRow kCheckRows[] = {
+    {"a valid table", [](RouteTable&) {}, ""},
+    {"an unknown service",
+     [](RouteTable& t) { t.routes[0].services[0].service = ServiceId("no"); },
+     "service no"},
+    {"an unknown shard",
+     [](RouteTable& t) {
+       t.routes[0].fan_out = FanOut{{ServiceId("no")}, 1, 1};
+     },
+     "service no"},
+    {"two routes in one place",
+     [](RouteTable& t) { t.routes[2].path_prefix = "/x/"; },
+     "expected no other route"},
+    {"weights that sum to nothing",
+     [](RouteTable& t) { t.routes[0].services[0].weight = 0; }, "weights"},
+    {"no time limit",
+     [](RouteTable& t) { t.routes[0].time_limit = Duration::zero(); },
+     "time_limit"},
+    {"a fan-out without shards",
+     [](RouteTable& t) { t.routes[0].fan_out = FanOut{}; }, "expected a shard"},
+};
+
+struct WeightRow {
+  std::vector<std::uint32_t> weights;
+};
+
+const WeightRow kWeightRows[] = {{{1, 1}}, {{9, 1}}, {{1, 0, 3}}, {{97, 3}}};
+
+}  // namespace
+
+ParameterizedTestParameters(Routes, LongestPrefixOfTheHostWins) {
+  return RowIndices(kMatchRows);
+}
+
+// Guards against requests that run at a service of another route.
+ParameterizedTest(std::size_t* index, Routes, LongestPrefixOfTheHostWins) {
+  const MatchRow& row = kMatchRows[*index];
+  const RouteIndex routes(ValidTable());
+  const Route* route = routes.Match(row.host, row.path);
+  const std::string actual = route == nullptr ? "" : route->name.value();
+  cr_assert_eq(actual, std::string(row.expected), "row %zu: actual %s", *index,
+               actual.c_str());
+}
+
+ParameterizedTestParameters(Routes, InvalidTableIsNamedByField) {
+  return RowIndices(kCheckRows);
+}
+
+// Guards against a table in force that can't be served, and against a valid one
+// that is refused.
+ParameterizedTest(std::size_t* index, Routes, InvalidTableIsNamedByField) {
+  const CheckRow& row = kCheckRows[*index];
+  RouteTable table = ValidTable();
+  row.change(table);
+  const std::vector<std::string> errors = CheckRoutes(table);
+  const std::string actual = errors.empty() ? "" : errors.front();
+  const bool matches = *row.expected == '\0'
+                           ? errors.empty()
+                           : actual.find(row.expected) != std::string::npos;
+  cr_assert(matches, "%s: expected \"%s\", actual \"%s\"", row.behaviour,
+            row.expected, actual.c_str());
+}
+
+ParameterizedTestParameters(Routes, SplitFollowsItsWeights) {
+  return RowIndices(kWeightRows);
+}
+
+// Guards against a part that gets more or less than its weight.
+ParameterizedTest(std::size_t* index, Routes, SplitFollowsItsWeights) {
+  const WeightRow& row = kWeightRows[*index];
+  constexpr int kRequests = 300;
+  constexpr double kTolerance = 0.02;
+  std::vector<WeightedService> services;
+  double sum = 0;
+  for (std::size_t i = 0; i < row.weights.size(); ++i) {
+    services.push_back({ServiceId(std::to_string(i)), row.weights[i]});
+    sum += row.weights[i];
+  }
+  std::vector<int> counts(services.size());
+  WeightedChoice choice;
+  for (int i = 0; i < kRequests; ++i) {
+    ++counts[std::stoul(choice.Choose(services).value())];
+  }
+  for (std::size_t i = 0; i < counts.size(); ++i) {
+    const double expected = row.weights[i] / sum;
+    const double actual = static_cast<double>(counts[i]) / kRequests;
+    cr_assert(std::abs(actual - expected) <= kTolerance,
+              "row %zu part %zu: expected %f, actual %f", *index, i, expected,
+              actual);
+  }
+}
+
+}  // namespace marigold
