--- a/src/policy/backend_directory.cc
+++ b/src/policy/backend_directory.cc
@@ -14,6 +14,12 @@
 // What was observed of a server that gets no attempts loses half of its weight
 // in this time, so that a recovered server is tried again.
 constexpr Duration kSlownessHalfLife = std::chrono::seconds(4);
+// Weight of the newest outcome in a server's share of failures.
+constexpr double kFailingWeight = 0.15;
+// An attempt that fails costs about this many typical latencies until another
+// server has answered, and a part of the retry budget.
+constexpr double kFailureCost = 3;
+constexpr double kMostFailing = 0.95;
 // A starting server is this much slower.
 constexpr double kColdSlowness = 1.6;
 
@@ -144,6 +150,7 @@
     this->AddSlowness(now, server, Ratio(latency, expected));
   }
   server.silent_since = now;
+  this->AddOutcome(now, server, false);
   DataCentre& data_centre = this->data_centres[server.listed.data_centre];
   data_centre.last_answer = now;
   data_centre.silent = 0;
@@ -161,6 +168,7 @@
                                  SendFailure failure) {
   Server& server = this->At(index);
   this->EndAttempt(server);
+  this->AddOutcome(now, server, true);
   switch (failure) {
     case SendFailure::kNotExecuted:
       server.avoid_until = std::max(server.avoid_until, now + kFullBackoff);
@@ -272,6 +280,20 @@
   return 1 + (server.slowness - 1) * std::exp2(-age);
 }
 
+double BackendDirectory::FailingOf(MonotonicTime now,
+                                   const Server& server) const {
+  const double age = Ratio(now - server.failing_at, kSlownessHalfLife);
+  return server.failing * std::exp2(-age);
+}
+
+void BackendDirectory::AddOutcome(MonotonicTime now,
+                                  Server& server,
+                                  bool failed) {
+  const double known = this->FailingOf(now, server);
+  server.failing = known + kFailingWeight * ((failed ? 1 : 0) - known);
+  server.failing_at = now;
+}
+
 void BackendDirectory::AddSlowness(MonotonicTime now,
                                    Server& server,
                                    double sample) {
@@ -296,10 +318,11 @@
   view.limit = server.in_flight + 1;
   view.reported_load = server.reported_load;
   view.report_age = now - server.reported_at;
+  const double failing = std::min(this->FailingOf(now, server), kMostFailing);
   const double cold = server.listed.is_cold ? kColdSlowness : 1;
-  view.latency_estimate =
-      Duration(static_cast<std::int64_t>(static_cast<double>(expected.count()) *
-                                         this->SlownessOf(now, server) * cold));
+  view.latency_estimate = Duration(static_cast<std::int64_t>(
+      static_cast<double>(expected.count()) * this->SlownessOf(now, server) *
+      cold * (1 + kFailureCost * failing / (1 - failing))));
   view.silent_for =
       server.in_flight > 0 ? now - server.silent_since : Duration::zero();
   view.usable_for = now - server.usable_since;
--- a/src/policy/backend_directory.h
+++ b/src/policy/backend_directory.h
@@ -132,6 +132,9 @@
     // Latency over the service's typical one; 1 is typical.
     double slowness = 1;
     MonotonicTime slowness_at;
+    // Share of the recent attempts that failed.
+    double failing = 0;
+    MonotonicTime failing_at;
     // Not used before this unless no other server is left.
     MonotonicTime avoid_until = MonotonicTime::min();
     // Not used before this at all: nothing listens at its address, or another
@@ -183,6 +186,8 @@
   void OnSilent(const Server& server);
   ServerIndex Adopt(MonotonicTime now, const ListedServer& listed);
   double SlownessOf(MonotonicTime now, const Server& server) const;
+  double FailingOf(MonotonicTime now, const Server& server) const;
+  void AddOutcome(MonotonicTime now, Server& server, bool failed);
   void AddSlowness(MonotonicTime now, Server& server, double sample);
   ServerView ViewOf(MonotonicTime now,
                     ServerIndex index,
