Restarted voters do not wait for a disk that is gone

Change: a VM with a new disk introduces itself to all members every 100 ms, and the disks listed at its address count as gone in the confirmation of a start; a member that is no voter lets others stand first.

--- a/src/net/control_driver.cc
+++ b/src/net/control_driver.cc
@@ -44,6 +44,9 @@
         }
       });
   const RankedLock lock(this->mutex);
+  for (const Endpoint& peer : this->settings.peers) {
+    this->LearnIntroductionTarget(peer);
+  }
   BOOST_LEAF_AUTO(stored, this->storage.Peek());
   this->disk = stored->disk;
   const bool is_new =
--- a/src/net/control_driver_inputs.cc
+++ b/src/net/control_driver_inputs.cc
@@ -17,7 +17,7 @@
 constexpr Duration kLongestHold = std::chrono::milliseconds(2);
 
 constexpr Duration kFormingInterval = std::chrono::milliseconds(100);
-constexpr Duration kJoiningInterval = std::chrono::milliseconds(300);
+constexpr Duration kJoiningInterval = std::chrono::milliseconds(100);
 
 constexpr Duration kRetryAfter = std::chrono::milliseconds(200);
 
@@ -65,10 +65,23 @@
     send(reply);
   });
   if (this->replica && !input.hello.is_forming) {
+    this->NoteGoneDisks(now, input.hello.self);
     this->AdmitMember(now, input.hello.self);
   }
 }
 
+// The disks that were listed at the address of a VM that has another one now.
+void ControlDriver::Impl::NoteGoneDisks(MonotonicTime now,
+                                        const Member& introduced) {
+  const Membership membership = this->replica->membership();
+  for (const Member& member : membership.members) {
+    if (member.address == introduced.address &&
+        member.disk != introduced.disk) {
+      this->replica->OnDiskGone(now, member.disk);
+    }
+  }
+}
+
 // Adds a new disk to the group. A disk that listened at the same address before
 // has been replaced; it is removed first, unless it is still a voter.
 void ControlDriver::Impl::AdmitMember(MonotonicTime now, const Member& member) {
@@ -99,6 +112,9 @@
 
 void ControlDriver::Impl::On(MonotonicTime /*now*/,
                              detail::HelloReplyInput& input) {
+  for (const Member& member : input.reply.membership.members) {
+    this->LearnIntroductionTarget(member.address);
+  }
   if (!this->formation) {
     return;
   }
@@ -212,10 +228,17 @@
   this->introduce_at = now + (is_forming ? kFormingInterval : kJoiningInterval);
   const std::string body =
       EncodeControlMessage(Hello{this->OwnMember(), is_forming});
-  for (const Endpoint& peer : this->settings.peers) {
-    if (peer != this->settings.address) {
-      this->links->Send(peer, body);
-    }
+  for (const Endpoint& peer : this->introduction_targets) {
+    this->links->Send(peer, body);
+  }
+}
+
+// All members have to hear that another disk is at this address now, and the
+// settings name only some.
+void ControlDriver::Impl::LearnIntroductionTarget(const Endpoint& endpoint) {
+  if (endpoint != this->settings.address &&
+      this->introduction_targets.insert(endpoint).second) {
+    this->introduce_at = MonotonicTime();
   }
 }
 
--- a/src/net/detail/control_driver_impl.h
+++ b/src/net/detail/control_driver_impl.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <variant>
 #include <vector>
 
@@ -100,9 +101,11 @@
   void On(MonotonicTime now, detail::MembersInput& input);
   void On(MonotonicTime now, detail::ReadInput& input);
   void On(MonotonicTime now, detail::DrainInput& input);
+  void NoteGoneDisks(MonotonicTime now, const Member& introduced);
   void AdmitMember(MonotonicTime now, const Member& member);
   void RunReplica(MonotonicTime now);
   void Introduce(MonotonicTime now);
+  void LearnIntroductionTarget(const Endpoint& endpoint);
   bool HasToIntroduce() const;
   void SendMessages();
   void ApplyCommitted();
@@ -160,6 +163,7 @@
   std::uint64_t applied_bytes = 0;
   std::uint64_t snapshot_bytes = 0;
   MonotonicTime introduce_at;
+  std::set<Endpoint> introduction_targets;
 
   // Used only by the worker that runs a batch.
   TimerHandle timer;
--- a/src/net/listing_poller.h
+++ b/src/net/listing_poller.h
@@ -41,7 +41,7 @@
   }
 
  private:
-  static constexpr Duration kTickInterval = std::chrono::milliseconds(200);
+  static constexpr Duration kTickInterval = std::chrono::milliseconds(100);
 
   void Tick() {
     const MonotonicTime now = this->clock.Now();
--- a/src/replication/detail/boot_guard.cc
+++ b/src/replication/detail/boot_guard.cc
@@ -147,7 +147,12 @@
   const std::size_t most = std::min(quorum, voters.size());
   const std::size_t fewest =
       std::min(std::max<std::size_t>(quorum - 1, 1), voters.size());
+  const bool all_others_gone =
+      std::all_of(voters.begin(), voters.end(), [this](const DiskId& disk) {
+        return this->confirmations.contains(disk) || this->gone.contains(disk);
+      });
   const bool others_lost =
+      all_others_gone ||
       this->rounds > RoundsIn(state.settings, kLostAfterTimeouts);
   if (confirming.size() >= (others_lost ? fewest : most)) {
     this->Confirm(state, confirming);
@@ -175,6 +180,11 @@
             {"term", state.hard.term.value()}});
 }
 
+void BootGuard::OnDiskGone(NodeState& state, const DiskId& disk) {
+  this->gone.insert(disk);
+  this->Conclude(state);
+}
+
 void BootGuard::OnHeard(const DiskId& disk) {
   const auto floor = this->floors.find(disk);
   if (floor != this->floors.end()) {
--- a/src/replication/detail/boot_guard.h
+++ b/src/replication/detail/boot_guard.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "src/replication/detail/node_state.h"
@@ -28,6 +29,9 @@
   void OnReply(NodeState& state,
                const ReplicaMessage& message,
                const BootReply& reply);
+  // The disk is lost for good: its VM has come back with another one. Nobody
+  // waits for its confirmation.
+  void OnDiskGone(NodeState& state, const DiskId& disk);
   // Any message from `disk` arrived.
   void OnHeard(const DiskId& disk);
   // A peer knows a start of this disk other than the present one and not
@@ -68,6 +72,7 @@
   std::uint32_t rounds = 0;
   std::map<DiskId, Confirmation> confirmations;
   std::map<DiskId, Floor> floors;
+  std::set<DiskId> gone;
 };
 
 }  // namespace marigold::detail
--- a/src/replication/detail/consensus.h
+++ b/src/replication/detail/consensus.h
@@ -41,6 +41,8 @@
   Proposal ProposeMembership(MonotonicTime now,
                              WallTime wall,
                              const MembershipChange& change);
+  // A member's disk is lost for good.
+  void OnDiskGone(MonotonicTime now, const DiskId& disk);
   std::vector<ReplicaMessage> TakeMessages();
   std::vector<Committed> TakeCommitted();
 
@@ -104,6 +106,9 @@
   Election election;
   Leadership leadership;
   Follower follower;
+  // An election timeout has passed without a leader since the last one was
+  // followed.
+  bool has_given_way = false;
   // The last index that `TakeCommitted` gave out.
   LogIndex given;
 };
--- a/src/replication/detail/consensus_boots.cc
+++ b/src/replication/detail/consensus_boots.cc
@@ -26,6 +26,13 @@
   return true;
 }
 
+void Consensus::OnDiskGone(MonotonicTime now, const DiskId& disk) {
+  this->Observe(now);
+  const Term before = this->state.hard.term;
+  this->guard.OnDiskGone(this->state, disk);
+  this->SettleGuard(before);
+}
+
 void Consensus::LearnBoot(const BootRecord& record) {
   if (record.disk == this->state.disk) {
     if (record != this->state.boot && record.count >= this->state.boot.count) {
--- a/src/replication/detail/consensus_roles.cc
+++ b/src/replication/detail/consensus_roles.cc
@@ -30,6 +30,7 @@
               {"term", this->state.hard.term.value()}});
   }
   this->election.Stop();
+  this->has_given_way = false;
   this->state.role = ReplicaRole::kFollower;
   this->state.leader = leader;
   this->state.leader_contact = this->state.now;
@@ -60,7 +61,11 @@
 
 void Consensus::OnElectionTimeout() {
   this->BecomeFollower();
-  if (!this->CanStand()) {
+  // A member that its log removes would resign as soon as it has committed
+  // that; it lets others stand first.
+  const bool gives_way =
+      !this->state.is_voter() && !std::exchange(this->has_given_way, true);
+  if (gives_way || !this->CanStand()) {
     this->election.Rearm(this->state);
     return;
   }
--- a/src/replication/replica.h
+++ b/src/replication/replica.h
@@ -61,6 +61,11 @@
     return this->consensus->ProposeMembership(now, wall, change);
   }
 
+  // A member's disk is lost for good: its VM has come back with another one.
+  void OnDiskGone(MonotonicTime now, const DiskId& disk) {
+    this->consensus->OnDiskGone(now, disk);
+  }
+
   // Writes and syncs all that is pending. On failure the replica stops voting,
   // accepting and proposing, and `storage_failed` is true from then on.
   void Flush(MonotonicTime now) {
--- a/tests/disk_identity_test.cc
+++ b/tests/disk_identity_test.cc
@@ -113,6 +113,24 @@
             "%s: expected a commit, actual %d", row.name, actual);
 }
 
+// Guards against two seconds without a leader after a power loss, in which the
+// restarted voters wait for a disk that can't answer any more.
+Test(DiskIdentity, RestartedVotersDoNotWaitForADiskThatIsGone) {
+  TestGroup group(3);
+  group.Elect();
+  group.Commit("kept");
+  group.Crash("a");
+  for (const char* name : {"b", "c"}) {
+    group.Crash(name);
+    group.Start(name);
+    group.Of(name).OnDiskGone(group.now, DiskId("a"));
+  }
+  group.Run(milliseconds(1'400));
+  const std::string leader = group.Leader();
+  cr_assert(!leader.empty() && group.Has(leader, "kept"),
+            "expected a leader, actual \"%s\"", leader.c_str());
+}
+
 ParameterizedTestParameters(DiskIdentity, RestoredDiskLosesNoCommittedEntry) {
   return RowIndices(kCopyRows);
 }
