A confirmed stream suffices after a start

Cause: after a power loss entry VMs waited up to 1 s for the answers of control VMs that were still down, although another one had confirmed the lists. Change: lists from a control VM with a quorum are in force at once.

--- a/src/net/control_client.cc
+++ b/src/net/control_client.cc
@@ -66,15 +66,17 @@
 
   void CheckSynchronised() {
     const LogIndex index = this->table.index();
-    if (this->synchronised || !this->sharing->has_asked() ||
-        index < this->sharing->highest()) {
+    if (this->synchronised || index < this->sharing->highest()) {
       return;
     }
     const auto announced =
         this->stream ? this->stream->announced() : std::nullopt;
+    // A control VM with a quorum has all that was accepted before its leader
+    // began to lead, so that the answers of others need not be waited for:
+    // after a power loss they come late.
     const bool is_confirmed = announced && index >= *announced;
     const bool is_cut_off =
-        index > LogIndex() &&
+        this->sharing->has_asked() && index > LogIndex() &&
         this->clock.Now() - this->started_at >= this->settings.cut_off_after;
     if (is_confirmed || is_cut_off) {
       this->synchronised = true;
