--- a/src/net/forward/backend_link.cc
+++ b/src/net/forward/backend_link.cc
@@ -76,10 +76,33 @@
   ErrorCode ignored;
   this->socket.set_option(tcp::no_delay(true), ignored);
   this->socket.non_blocking(true, ignored);
+  if (this->on_abandoned_end) {
+    this->ReportAbandoned(true);
+    this->exchange.reset();
+    this->MakeFree();
+    return;
+  }
   LinkExchange first = std::move(*this->exchange);
   this->Begin(std::move(first));
 }
 
+void BackendLink::MakeFree() {
+  if (this->timer) {
+    this->lane->Cancel(*this->timer);
+    this->timer.reset();
+  }
+  this->state = State::kFree;
+  this->free_since = this->lane->Now();
+  this->AwaitBytes();
+  this->events.on_free(this->shared_from_this());
+}
+
+void BackendLink::ReportAbandoned(bool answered) {
+  if (const auto report = std::exchange(this->on_abandoned_end, nullptr)) {
+    report(answered);
+  }
+}
+
 void BackendLink::Begin(LinkExchange next) {
   if (this->timer) {
     this->lane->Cancel(*this->timer);
@@ -243,18 +266,12 @@
                             this->exchange->is_head);
   this->NoteKeepAlive(reply);
   const bool was_abandoned = this->state == State::kAbandoned;
-  if (this->timer) {
-    this->lane->Cancel(*this->timer);
-    this->timer.reset();
-  }
   auto done = std::move(this->exchange->on_outcome);
   this->exchange.reset();
   const auto self = this->shared_from_this();
+  this->ReportAbandoned(true);
   if (is_reusable) {
-    this->state = State::kFree;
-    this->free_since = this->lane->Now();
-    this->AwaitBytes();
-    this->events.on_free(self);
+    this->MakeFree();
   } else {
     this->Close();
   }
@@ -274,15 +291,18 @@
   }
 }
 
-void BackendLink::Abandon() {
+void BackendLink::Abandon(std::function<void(bool)> on_end) {
   if (this->state == State::kConnecting) {
-    this->Close();
+    // The connection is of use for the next exchange.
+    this->on_abandoned_end = std::move(on_end);
+    this->exchange->on_outcome = nullptr;
     return;
   }
   if (this->state != State::kBusy) {
     return;
   }
   this->state = State::kAbandoned;
+  this->on_abandoned_end = std::move(on_end);
   this->exchange->on_outcome = nullptr;
   this->SetTimer(kAbandonTimeout);
 }
@@ -305,6 +325,7 @@
     done = std::move(this->exchange->on_outcome);
   }
   this->exchange.reset();
+  this->ReportAbandoned(false);
   this->Close();
   if (done) {
     done(failure);
@@ -321,6 +342,7 @@
     this->timer.reset();
   }
   this->exchange.reset();
+  this->on_abandoned_end = nullptr;
   ErrorCode ignored;
   this->socket.close(ignored);
   this->events.on_closed(this->shared_from_this());
--- a/src/net/forward/backend_link.h
+++ b/src/net/forward/backend_link.h
@@ -55,9 +55,10 @@
   // Carries an exchange over a free link.
   void Begin(LinkExchange next);
 
-  // Nobody waits for the outcome, which is not reported. The link becomes free
-  // once the reply has been read, or closes after a while.
-  void Abandon();
+  // Nobody waits for the outcome any more; `on_end` is told instead whether the
+  // server did answer. The link becomes free once the reply has been read, or
+  // closes after a while.
+  void Abandon(std::function<void(bool answered)> on_end);
 
   void Close();
 
@@ -81,7 +82,8 @@
   void Parse();
   void OnEnded(const ErrorCode& error);
   void OnReply();
-  void Report(LinkOutcome outcome);
+  void MakeFree();
+  void ReportAbandoned(bool answered);
   void Fail(SendFailure failure);
   void SetTimer(Duration delay);
   void NoteKeepAlive(const BackendReply& reply);
@@ -92,6 +94,7 @@
   boost::beast::flat_buffer buffer;
   std::optional<Parser> parser;
   std::optional<LinkExchange> exchange;
+  std::function<void(bool)> on_abandoned_end;
   State state = State::kConnecting;
   // A late reply to another request came first; the link carries nothing more.
   bool is_spoiled = false;
--- a/src/net/forward/backend_links.cc
+++ b/src/net/forward/backend_links.cc
@@ -20,6 +20,20 @@
     }
     link->Close();
   }
+  const LinkPtr link = this->Make(server);
+  link->Open(endpoint, std::move(exchange));
+  return link;
+}
+
+void BackendLinks::Open(ServerIndex server,
+                        const Endpoint& endpoint,
+                        std::function<void(bool)> on_end) {
+  const LinkPtr link = this->Make(server);
+  link->Open(endpoint, {});
+  link->Abandon(std::move(on_end));
+}
+
+BackendLinks::LinkPtr BackendLinks::Make(ServerIndex server) {
   BackendLink::Events events;
   events.on_free = [weak = this->weak_from_this(),
                     server](const LinkPtr& link) {
@@ -37,7 +51,6 @@
   auto link = std::make_shared<BackendLink>(this->lane, std::move(events));
   ++this->open;
   ++this->opened;
-  link->Open(endpoint, std::move(exchange));
   return link;
 }
 
--- a/src/net/forward/backend_links.h
+++ b/src/net/forward/backend_links.h
@@ -2,7 +2,7 @@
 #define SRC_NET_FORWARD_BACKEND_LINKS_H_
 
 #include <cstddef>
-#include <deque>
+#include <functional>
 #include <memory>
 #include <unordered_map>
 #include <vector>
@@ -29,6 +29,11 @@
                                      Duration longest_idle,
                                      LinkExchange exchange);
 
+  // Opens a link for later use and reports whether that succeeded.
+  void Open(ServerIndex server,
+            const Endpoint& endpoint,
+            std::function<void(bool opened)> on_end);
+
   // Closes the free links to a server that gets no new work.
   void Retire(ServerIndex server);
 
@@ -39,6 +44,8 @@
  private:
   using LinkPtr = std::shared_ptr<BackendLink>;
 
+  LinkPtr Make(ServerIndex server);
+
   std::shared_ptr<Lane> lane;
   std::unordered_map<ServerIndex, std::vector<LinkPtr>> free;
   std::size_t open = 0;
--- a/src/net/forward/forwarded_call.h
+++ b/src/net/forward/forwarded_call.h
@@ -150,7 +150,14 @@
     }
     if (this->forwarding.state() == ForwardState::kRunning ||
         this->forwarding.state() == ForwardState::kAnswered) {
-      link->Abandon();
+      link->Abandon([lane = this->parts.lane, &backends = this->parts.backends,
+                     dropped = step](bool answered) {
+        const MonotonicTime now = lane->Now();
+        backends.Access([&](BackendDirectory& directory) {
+          directory.OnDroppedEnd(now, dropped.server, now - dropped.began,
+                                 dropped.expected, answered);
+        });
+      });
     } else {
       link->Close();
     }
@@ -218,7 +225,11 @@
     this->parts.counters.OnFinished(
         this->is_caller_gone ? "caller_gone" : ToString(state), latency);
     if (!this->is_caller_gone) {
-      const bool closes = this->session->MustClose();
+      // A caller that nothing can be done for here may reach another entry VM
+      // over a new connection.
+      const bool closes =
+          this->session->MustClose() || (state == ForwardState::kNotRun &&
+                                         this->forwarding.sends_made() == 0);
       this->LogUnlessWhole(latency);
       this->session->Answer(this->Encode(state, closes), closes);
     }
--- a/src/net/forward/forwarder.h
+++ b/src/net/forward/forwarder.h
@@ -58,6 +58,24 @@
     }
   }
 
+  // Opens a connection to see whether the server's data centre is back.
+  void Probe(ServerIndex server) {
+    const Endpoint endpoint =
+        this->parts.backends.Access([&](BackendDirectory& directory) {
+          return directory.Listed(server).endpoint;
+        });
+    this->links->Open(
+        server, endpoint,
+        [lane = this->parts.lane, &backends = this->parts.backends, server,
+         began = this->parts.lane->Now()](bool opened) {
+          const MonotonicTime now = lane->Now();
+          backends.Access([&](BackendDirectory& directory) {
+            directory.OnDroppedEnd(now, server, now - began, Duration::zero(),
+                                   opened);
+          });
+        });
+  }
+
   std::size_t calls_in_progress() const { return this->calls.size(); }
 
  private:
--- a/src/net/list_stream.cc
+++ b/src/net/list_stream.cc
@@ -8,6 +8,14 @@
 
 namespace marigold {
 
+namespace {
+
+// Another control VM is tried after this; a packet that a VM without power did
+// not get would be sent again only after a second.
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(200);
+
+}  // namespace
+
 ListStream::ListStream(WorkerPool& worker_pool,
                        SerialQueue serial_queue,
                        ListTable& list_table,
@@ -52,6 +60,7 @@
   this->current = endpoint;
   FramedLimits limits;
   limits.silence_timeout = this->settings.silence_timeout;
+  limits.connect_timeout = kConnectTimeout;
   const auto opened = FramedConnection::Create(this->pool, limits);
   const std::weak_ptr<FramedConnection> weak_opened = opened;
   this->connection = opened;
--- a/src/net/peer_links.cc
+++ b/src/net/peer_links.cc
@@ -33,6 +33,8 @@
         on_body(std::move(body_handler)),
         random(SystemSeed()) {
     this->limits.silence_timeout = silence_timeout;
+    // A peer that has just got power back answers the next try at once.
+    this->limits.connect_timeout = silence_timeout / 2;
   }
 
   std::shared_ptr<FramedConnection> Find(const Endpoint& peer) {
--- a/src/policy/backend_directory.cc
+++ b/src/policy/backend_directory.cc
@@ -31,6 +31,7 @@
 // servers has answered for the given time. It then gets one attempt an interval
 // to see whether it has come back.
 constexpr std::uint32_t kSilentAttempts = 4;
+constexpr std::uint32_t kSilentServerAttempts = 2;
 constexpr Duration kCutOffAfter = std::chrono::milliseconds(300);
 constexpr Duration kProbeInterval = std::chrono::milliseconds(250);
 
@@ -149,18 +150,65 @@
   if (expected > Duration::zero()) {
     this->AddSlowness(now, server, Ratio(latency, expected));
   }
-  server.silent_since = now;
   this->AddOutcome(now, server, false);
+  this->NoteAnswer(now, server);
+  if (load) {
+    server.reported_load = load->running + load->waiting;
+    server.reported_at = now;
+  }
+  this->EndAttempt(server);
+}
+
+void BackendDirectory::NoteAnswer(MonotonicTime now, Server& server) {
+  server.silent_since = now;
+  server.unanswered = 0;
   DataCentre& data_centre = this->data_centres[server.listed.data_centre];
+  if (this->IsCutOff(now, server.listed.data_centre)) {
+    this->ReleaseDataCentre(server.listed.data_centre);
+  }
   data_centre.last_answer = now;
   data_centre.silent = 0;
   server.backoff = Duration::zero();
   server.avoid_until = MonotonicTime::min();
-  if (load) {
-    server.reported_load = load->running + load->waiting;
-    server.reported_at = now;
+}
+
+void BackendDirectory::ReleaseDataCentre(const DataCentreId& data_centre) {
+  for (Server& server : this->servers) {
+    if (server.listed.data_centre == data_centre) {
+      server.backoff = Duration::zero();
+      server.avoid_until = MonotonicTime::min();
+      server.blocked_until = MonotonicTime::min();
+      server.unanswered = 0;
+      server.failing = 0;
+    }
+  }
+}
+
+void BackendDirectory::BackOff(MonotonicTime now, Server& server) {
+  server.backoff =
+      std::clamp(server.backoff * 2, kFirstBackoff, kLongestBackoff);
+  server.avoid_until = now + server.backoff;
+}
+
+void BackendDirectory::OnDroppedEnd(MonotonicTime now,
+                                    ServerIndex index,
+                                    Duration elapsed,
+                                    Duration expected,
+                                    bool answered) {
+  Server& server = this->At(index);
+  if (expected > Duration::zero()) {
+    this->AddSlowness(now, server, Ratio(elapsed, expected));
+  }
+  if (answered) {
+    this->NoteAnswer(now, server);
+    return;
+  }
+  this->OnSilent(server);
+  this->BackOff(now, server);
+  // One answer may be lost on the way.
+  if (++server.unanswered >= kSilentServerAttempts) {
+    server.blocked_until = server.avoid_until;
   }
-  this->EndAttempt(server);
 }
 
 void BackendDirectory::OnFailure(MonotonicTime now,
@@ -177,12 +225,10 @@
       server.blocked_until = now + kOtherServerBlock;
       return;
     case SendFailure::kUnreachable:
-      this->OnSilent(server);
-      [[fallthrough]];
     case SendFailure::kNotConnected:
-      server.backoff =
-          std::clamp(server.backoff * 2, kFirstBackoff, kLongestBackoff);
-      server.blocked_until = now + server.backoff;
+      this->OnSilent(server);
+      this->BackOff(now, server);
+      server.blocked_until = server.avoid_until;
       return;
     case SendFailure::kTimeout:
       this->OnSilent(server);
@@ -190,9 +236,7 @@
     case SendFailure::kConnectionLost:
     case SendFailure::kBadAnswer:
     case SendFailure::kServerError:
-      server.backoff =
-          std::clamp(server.backoff * 2, kFirstBackoff, kLongestBackoff);
-      server.avoid_until = now + server.backoff;
+      this->BackOff(now, server);
       return;
   }
 }
@@ -239,6 +283,34 @@
                      });
 }
 
+bool BackendDirectory::IsAnswering(MonotonicTime now,
+                                   const ServiceId& service) const {
+  const auto found = this->services.find(service);
+  return found != this->services.end() &&
+         std::any_of(found->second.members.begin(), found->second.members.end(),
+                     [&](ServerIndex index) {
+                       const Server& server = this->At(index);
+                       return this->IsOpen(now, server) &&
+                              !this->IsCutOff(now, server.listed.data_centre);
+                     });
+}
+
+std::vector<ServerIndex> BackendDirectory::ProbeTargets(
+    MonotonicTime now) const {
+  std::unordered_map<DataCentreId, ServerIndex> targets;
+  for (std::size_t i = 0; i < this->servers.size(); ++i) {
+    const Server& server = this->servers[i];
+    if (server.is_usable && this->IsCutOff(now, server.listed.data_centre)) {
+      targets[server.listed.data_centre] = ServerIndex(i + 1);
+    }
+  }
+  std::vector<ServerIndex> probes;
+  for (const auto& [data_centre, server] : targets) {
+    probes.push_back(server);
+  }
+  return probes;
+}
+
 bool BackendDirectory::HasCutOff(MonotonicTime now) const {
   return std::any_of(
       this->data_centres.begin(), this->data_centres.end(),
--- a/src/policy/backend_directory.h
+++ b/src/policy/backend_directory.h
@@ -109,6 +109,14 @@
                    Duration elapsed,
                    Duration expected);
 
+  // An attempt that was cancelled before has been answered after `elapsed`, or
+  // the server was found to be silent.
+  void OnDroppedEnd(MonotonicTime now,
+                    ServerIndex server,
+                    Duration elapsed,
+                    Duration expected,
+                    bool answered);
+
   // Queries.
 
   // Valid until the next command.
@@ -120,6 +128,11 @@
                                           Fraction share) const;
   // True if some server of the service could get an attempt now.
   bool IsReachable(MonotonicTime now, const ServiceId& service) const;
+  // True if, besides, its data centre is not cut off.
+  bool IsAnswering(MonotonicTime now, const ServiceId& service) const;
+  // One server of each data centre that is cut off. Without requests nothing
+  // else shows that it has come back.
+  std::vector<ServerIndex> ProbeTargets(MonotonicTime now) const;
   // True if some data centre does not answer.
   bool HasCutOff(MonotonicTime now) const;
   std::size_t size() const { return this->servers.size(); }
@@ -141,6 +154,8 @@
     // server does.
     MonotonicTime blocked_until = MonotonicTime::min();
     Duration backoff{};
+    // Attempts without any answer since the last one.
+    std::uint32_t unanswered = 0;
     std::uint32_t reported_load = 0;
     MonotonicTime reported_at{};
     // The last answer, or when the oldest attempt without one began.
@@ -184,6 +199,10 @@
   // True if the server may get an attempt.
   bool IsOpen(MonotonicTime now, const Server& server) const;
   void OnSilent(const Server& server);
+  // Forgets why the servers of a data centre were not used.
+  void ReleaseDataCentre(const DataCentreId& data_centre);
+  void NoteAnswer(MonotonicTime now, Server& server);
+  void BackOff(MonotonicTime now, Server& server);
   ServerIndex Adopt(MonotonicTime now, const ListedServer& listed);
   double SlownessOf(MonotonicTime now, const Server& server) const;
   double FailingOf(MonotonicTime now, const Server& server) const;
--- a/src/policy/forwarding.h
+++ b/src/policy/forwarding.h
@@ -40,6 +40,10 @@
 // Nobody waits for this answer any more.
 struct DropSend {
   SendId send;
+  ServerIndex server;
+  MonotonicTime began;
+  // The latency of a typical server.
+  Duration expected{};
 };
 // Replaces any earlier time.
 struct WakeAt {
@@ -352,7 +356,8 @@
       directory.OnCancelled(now, send.server, now - send.began,
                             this->timing.expected);
     });
-    steps.push_back(DropSend{id});
+    steps.push_back(
+        DropSend{id, send.server, send.began, this->timing.expected});
   }
 
   void Finish(MonotonicTime now, ForwardState state, Steps& steps) {
--- a/src/policy/route_reach.cc
+++ b/src/policy/route_reach.cc
@@ -12,7 +12,7 @@
   const auto reachable =
       std::count_if(fan_out.shards.begin(), fan_out.shards.end(),
                     [&](const ServiceId& shard) {
-                      return directory.IsReachable(now, shard);
+                      return directory.IsAnswering(now, shard);
                     });
   const auto all = static_cast<double>(fan_out.shards.size());
   return static_cast<double>(reachable) < fan_out.minimum_coverage * all;
--- a/src/programs/forward_process.h
+++ b/src/programs/forward_process.h
@@ -68,7 +68,7 @@
   static constexpr Duration kRotationTime = std::chrono::milliseconds(2800);
   // Before the process is ended by force.
   static constexpr Duration kStopMargin = std::chrono::milliseconds(400);
-  static constexpr Duration kShareInterval = std::chrono::milliseconds(500);
+  static constexpr Duration kTickInterval = std::chrono::milliseconds(500);
   static constexpr std::uint64_t kMostReadDelayMs = 600;
   static constexpr int kStatusUnavailable = 503;
   static constexpr int kStatusNotFound = 404;
@@ -118,7 +118,7 @@
                                          }));
     BOOST_LEAF_CHECK(this->control.Start());
     this->StartPolling();
-    this->ArmShare();
+    this->ArmTick();
     return {};
   }
 
@@ -161,16 +161,28 @@
     }
   }
 
-  // Passes this entry VM's part of the retry budgets on.
-  void ArmShare() {
-    this->share_timer = this->pool.After(kShareInterval, [this] {
-      const Fraction share = this->listing.share();
-      this->backends.Access(
-          [&](BackendDirectory& directory) { directory.SetShare(share); });
-      this->ArmShare();
+  void ArmTick() {
+    this->tick_timer = this->pool.After(kTickInterval, [this] {
+      this->Tick();
+      this->ArmTick();
     });
   }
 
+  // Passes this entry VM's part of the retry budgets on, and probes data
+  // centres that are cut off.
+  void Tick() {
+    const Fraction share = this->listing.share();
+    const MonotonicTime now = this->clock.Now();
+    const auto probes = this->backends.Access([&](BackendDirectory& directory) {
+      directory.SetShare(share);
+      return directory.ProbeTargets(now);
+    });
+    const auto& [lane, forwarder] = this->forwarders.front();
+    for (const ServerIndex server : probes) {
+      lane->Post([forwarder = forwarder, server] { forwarder->Probe(server); });
+    }
+  }
+
   bool knows_routes() const {
     return this->control.is_synchronised() && this->lists.Routes() != nullptr;
   }
@@ -201,10 +213,17 @@
   bool IsCutOff() const {
     const auto routes = this->lists.Routes();
     const MonotonicTime now = this->clock.Now();
-    return this->backends.Access([&](const BackendDirectory& directory) {
-      return directory.HasCutOff(now) &&
-             HasUnservableRoute(directory, now, routes->table());
-    });
+    const bool is_cut_off =
+        this->backends.Access([&](const BackendDirectory& directory) {
+          return directory.HasCutOff(now) &&
+                 HasUnservableRoute(directory, now, routes->table());
+        });
+    if (this->was_cut_off.exchange(is_cut_off) != is_cut_off) {
+      LogEvent(LogLevel::kWarning,
+               is_cut_off ? "backends_lost" : "backends_regained",
+               {{"routes_version", routes->table().version.value()}});
+    }
+    return is_cut_off;
   }
 
   std::string State() const {
@@ -252,6 +271,7 @@
   mutable BackendTable backends;
   ForwardCounters counters;
   std::atomic<bool> is_leaving = false;
+  mutable std::atomic<bool> was_cut_off = false;
   WorkerPool pool;
   ControlClient control;
   std::vector<std::pair<std::shared_ptr<Lane>, std::shared_ptr<LaneForwarder>>>
@@ -259,7 +279,7 @@
   std::unique_ptr<CallerDoor> door;
   std::unique_ptr<HttpServer> admin;
   std::shared_ptr<ListingPoller<Codec>> poller;
-  TimerHandle share_timer;
+  TimerHandle tick_timer;
 };
 
 }  // namespace marigold
