A control VM whose disk has failed starts anew once it takes writes

Change: the driver tries the disk every 250 ms after a failure; the process ends with code 1 as soon as a write is synced, and its next start follows the group.

--- a/src/net/control_driver.cc
+++ b/src/net/control_driver.cc
@@ -18,6 +18,8 @@
 // append.
 constexpr std::size_t kMostCommandBytes = 1024 * 1024;
 
+constexpr Duration kStorageTryInterval = std::chrono::milliseconds(250);
+
 // Heartbeats without an answer after which a connection to a peer is replaced.
 constexpr int kSilentHeartbeats = 6;
 
@@ -119,6 +121,7 @@
       this->RunReplica(now);
     }
     this->AnswerReads();
+    this->TryFailedStorage(now);
     this->Publish();
     this->ReportListsChanged();
     if (this->on_drained && this->pending.size() == 0 && this->held.empty()) {
@@ -164,6 +167,21 @@
   this->CompactIfDue();
 }
 
+void ControlDriver::Impl::TryFailedStorage(MonotonicTime now) {
+  if (!this->replica || !this->replica->storage_failed() ||
+      !this->on_storage_usable || now < this->storage_try_at) {
+    return;
+  }
+  this->storage_try_at = now + kStorageTryInterval;
+  const auto tried = Capture<bool>([this]() -> Result<bool> {
+    BOOST_LEAF_CHECK(this->storage.TryWrite());
+    return true;
+  });
+  if (std::holds_alternative<bool>(tried)) {
+    this->Deliver(std::exchange(this->on_storage_usable, nullptr));
+  }
+}
+
 void ControlDriver::Impl::ArmTimer(MonotonicTime due) {
   const MonotonicTime now = this->clock.Now();
   const bool is_armed = this->timer_due > now;
@@ -237,6 +255,10 @@
   this->impl->Post(detail::MembersInput{std::move(change), std::move(done)});
 }
 
+void ControlDriver::OnStorageUsable(std::function<void()> on_usable) {
+  this->impl->on_storage_usable = std::move(on_usable);
+}
+
 void ControlDriver::ConfirmRead(std::function<void(ReadAnswer)> done) {
   this->impl->Post(detail::ReadInput{std::move(done)});
 }
--- a/src/net/control_driver_inputs.cc
+++ b/src/net/control_driver_inputs.cc
@@ -266,6 +266,10 @@
   if (this->HasToIntroduce()) {
     due = std::min(due, this->introduce_at);
   }
+  if (this->replica && this->replica->storage_failed() &&
+      this->on_storage_usable) {
+    due = std::min(due, this->storage_try_at);
+  }
   if (!this->held.empty()) {
     due = std::min(due, this->held_since + kLongestHold);
   }
--- a/src/net/counted_storage.h
+++ b/src/net/counted_storage.h
@@ -63,6 +63,8 @@
     return this->inner.SaveSnapshot(snapshot);
   }
 
+  Result<void> TryWrite() { return this->inner.TryWrite(); }
+
   Result<void> Sync() {
     const SystemClock clock;
     const MonotonicTime began_at = clock.Now();
--- a/src/net/detail/control_driver_impl.h
+++ b/src/net/detail/control_driver_impl.h
@@ -112,6 +112,8 @@
   void ApplyEntry(const LogEntry& entry);
   void RestoreSnapshot(const SnapshotImage& image);
   void AnswerReads();
+  // Reports once a failed disk takes writes again.
+  void TryFailedStorage(MonotonicTime now);
   void FailLostEntries();
   void CompactIfDue();
   void Publish();
@@ -162,6 +164,8 @@
   // Payload bytes applied since the last snapshot, and that snapshot's size.
   std::uint64_t applied_bytes = 0;
   std::uint64_t snapshot_bytes = 0;
+  std::function<void()> on_storage_usable;
+  MonotonicTime storage_try_at;
   MonotonicTime introduce_at;
   std::set<Endpoint> introduction_targets;
 
--- a/src/programs/control_process.cc
+++ b/src/programs/control_process.cc
@@ -44,6 +44,12 @@
 }
 
 int ControlProcess::Serve() {
+  this->driver->OnStorageUsable([this] {
+    LogEvent(LogLevel::kWarning, "restart_wanted",
+             {{"reason", "the disk takes writes again after a failure"}});
+    this->exit_code = 1;
+    this->pool.Finish();
+  });
   this->hub->Start();
   this->driver->Start();
   TimerHandle drain_timer;
@@ -62,7 +68,7 @@
   // Handlers refer to the members, which are destroyed next.
   this->pool.Stop();
   LogEvent(LogLevel::kInfo, "stopped");
-  return 0;
+  return this->exit_code;
 }
 
 HttpResponse ControlProcess::AnswerHttp(const HttpRequest& request) const {
--- a/src/programs/control_process.h
+++ b/src/programs/control_process.h
@@ -1,6 +1,7 @@
 #ifndef SRC_PROGRAMS_CONTROL_PROCESS_H_
 #define SRC_PROGRAMS_CONTROL_PROCESS_H_
 
+#include <atomic>
 #include <cstdint>
 #include <memory>
 
@@ -34,7 +35,8 @@
   // `handler` answers the HTTP address.
   Result<void> Open(HttpHandler handler);
 
-  // Serves until a signal ends the process; gives the exit code.
+  // Serves until a signal ends the process, or until its disk takes writes
+  // again after a failure; gives the exit code.
   int Serve();
 
   // The process's own /state, /metrics and /health.
@@ -56,6 +58,8 @@
   std::shared_ptr<ControlDriver> driver;
   std::unique_ptr<ControlServer> server;
   std::unique_ptr<HttpServer> http;
+  // 1 if the process wants to be started again.
+  std::atomic<int> exit_code = 0;
 };
 
 }  // namespace marigold
--- a/src/replication/file_storage.cc
+++ b/src/replication/file_storage.cc
@@ -12,6 +12,10 @@
 
 namespace {
 
+// More than the usual entry, so that a disk with a little room is not taken for
+// a sound one.
+constexpr std::size_t kProbeBytes = 256 * 1024;
+
 // An error that stands for all writes after the first failure.
 boost::leaf::error_id FailedEarlier(const std::string& path) {
   return boost::leaf::new_error(
@@ -151,6 +155,18 @@
   });
 }
 
+Result<void> FileStorage::TryWrite() {
+  const std::string name =
+      this->PathOf("probe" + std::string(detail::kTemporarySuffix));
+  {
+    BOOST_LEAF_AUTO(file,
+                    detail::File::Open(name, O_WRONLY | O_CREAT | O_TRUNC));
+    BOOST_LEAF_CHECK(file.Write(std::string(kProbeBytes, '\0')));
+    BOOST_LEAF_CHECK(file.Sync());
+  }
+  return detail::RemoveFile(name);
+}
+
 Result<void> FileStorage::Sync() {
   return this->Write([&]() -> Result<void> {
     if (this->tail_dirty) {
--- a/src/replication/file_storage.h
+++ b/src/replication/file_storage.h
@@ -50,6 +50,10 @@
   Result<void> SaveSnapshot(const SnapshotImage& snapshot);
   Result<void> Sync();
 
+  // Writes and removes a small file, to see whether a disk that has failed
+  // takes bytes again.
+  Result<void> TryWrite();
+
   // Queries.
 
   const DiskId& disk() const { return this->id; }
