Servers of the own data centre first, and a longer pause for callers at the start

Change: another data centre counts as 12 ms; a starting entry VM asks callers to come back after 0.4 s.

--- a/src/net/forward/forwarder.h
+++ b/src/net/forward/forwarder.h
@@ -83,14 +83,16 @@
   using Call = ForwardedCall<Dialect>;
 
   static constexpr int kStatusNotFound = 404;
+  // A process that starts knows the routes within about this time.
+  static constexpr Duration kStartRetryAfter = std::chrono::milliseconds(400);
 
   void OnRequest(const SessionPtr& session, CallerRequest request) {
     const std::shared_ptr<const RouteIndex> routes =
         this->shared.knows_routes() ? this->shared.lists.Routes() : nullptr;
     if (!routes) {
-      this->Refuse(
-          session, "routes_unknown",
-          {kStatusUnavailable, "the routes are not known yet", kRetryAfter});
+      this->Refuse(session, "routes_unknown",
+                   {kStatusUnavailable, "the routes are not known yet",
+                    kStartRetryAfter});
       return;
     }
     const auto host = request[boost::beast::http::field::host];
--- a/src/policy/replica_choice.h
+++ b/src/policy/replica_choice.h
@@ -193,7 +193,7 @@
 
  private:
   static constexpr Duration kReportHalfLife = std::chrono::milliseconds(300);
-  static constexpr Duration kRemoteDelay = std::chrono::milliseconds(4);
+  static constexpr Duration kRemoteDelay = std::chrono::milliseconds(12);
   // A busy server is a little slower even while it has free slots.
   static constexpr double kBusyWeight = 0.3;
   // Spreads equal candidates, in microseconds.
