--- a/src/policy/retry_budget.h
+++ b/src/policy/retry_budget.h
@@ -18,6 +18,9 @@
   // On top of the ratio, for the whole fleet.
   double fleet_minimum = 100;
   Duration window = std::chrono::seconds(10);
+  // When the process started. What an earlier process of this VM sent still
+  // counts for one window.
+  MonotonicTime started_at = MonotonicTime::min();
 };
 
 // One entry VM's part of a service's retry budget. Counts in a sliding window,
@@ -44,9 +47,13 @@
       requests += slot.requests;
       extra += slot.extra;
     }
+    const double earned =
+        kSafety * settings.ratio.value() * static_cast<double>(requests);
+    const bool has_just_started = now < settings.started_at + settings.window;
     const double allowed =
-        kSafety * (settings.ratio.value() * static_cast<double>(requests) +
-                   settings.fleet_minimum * share.value());
+        has_just_started
+            ? kStartPart * earned
+            : earned + kSafety * settings.fleet_minimum * share.value();
     if (static_cast<double>(extra + 1) > allowed) {
       return false;
     }
@@ -64,6 +71,9 @@
   // Requests are counted here a moment before they are seen outside, and a
   // window that is seen outside may span one slot more.
   static constexpr double kSafety = 0.85;
+  // An earlier process may have used the whole budget a moment before the whole
+  // fleet was started anew.
+  static constexpr double kStartPart = 0.35;
 
   std::int64_t Step(const RetryBudgetSettings& settings,
                     MonotonicTime now) const {
--- a/src/programs/forward_process.h
+++ b/src/programs/forward_process.h
@@ -80,6 +80,7 @@
     directory.retries.ratio = Fraction(settings.retry_ratio);
     directory.retries.fleet_minimum = settings.retry_minimum;
     directory.retries.window = FromSeconds(settings.retry_window_s);
+    directory.retries.started_at = SystemClock().Now();
     return directory;
   }
 
--- a/tests/retry_budget_test.cc
+++ b/tests/retry_budget_test.cc
@@ -73,4 +73,31 @@
   }
 }
 
+// Guards against a fleet that is started anew and spends its budget a second
+// time within one window.
+Test(RetryBudget, RestartedProcessSpendsLessForOneWindow) {
+  RetryBudgetSettings settings{Fraction(0.2), 120, seconds(10)};
+  const MonotonicTime start(seconds(1'000));
+  const auto spend = [&](RetryBudget& budget, MonotonicTime from) {
+    int spent = 0;
+    for (int i = 0; i < 500; ++i) {
+      budget.OnRequest(settings, from + milliseconds(10) * i);
+      while (
+          budget.TrySpend(settings, from + milliseconds(10) * i, Fraction(1))) {
+        ++spent;
+      }
+    }
+    return spent;
+  };
+  RetryBudget before;
+  const int first = spend(before, start);
+  settings.started_at = start + seconds(5);
+  RetryBudget after;
+  const int second = spend(after, start + seconds(5));
+  const int allowed = 200 + 120;
+  cr_assert(first + second <= allowed, "expected at most %d, actual %d + %d",
+            allowed, first, second);
+  cr_assert(second > 0, "expected some after the start");
+}
+
 }  // namespace marigold
