A bounded log on standard output with one line a request

Cause: a failed request's cause could not be found from the log alone; lines went to standard error and could block. Change: server processes log to standard output, at most 100 lines a second and as many warnings, never waiting; lines that are dropped are counted in the next one.

--- a/src/core/log.cc
+++ b/src/core/log.cc
@@ -1,11 +1,15 @@
 #include "src/core/log.h"
 
 #include <fmt/chrono.h>
+#include <poll.h>
+#include <unistd.h>
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
-#include <cstdio>
+#include <cstdint>
 #include <iterator>
+#include <utility>
 
 #include "src/core/ranked_mutex.h"
 
@@ -72,8 +76,78 @@
   }
 }
 
+// Bounds the volume under load. Warnings and errors have a bound of their own,
+// so that a flood of requests does not hide them.
+class LineBudget {
+ public:
+  bool TrySpend(std::chrono::steady_clock::time_point now) {
+    const double earned =
+        std::chrono::duration<double>(now - this->filled_at).count() *
+        kLinesPerSecond;
+    this->filled_at = now;
+    this->lines = std::min(this->lines + earned, kMostLines);
+    if (this->lines < 1) {
+      return false;
+    }
+    this->lines -= 1;
+    return true;
+  }
+
+ private:
+  static constexpr double kLinesPerSecond = 100;
+  static constexpr double kMostLines = 400;
+
+  double lines = kMostLines;
+  std::chrono::steady_clock::time_point filled_at =
+      std::chrono::steady_clock::now();
+};
+
+// A pipe that can be written to takes this many bytes without blocking.
+constexpr std::size_t kMostLineBytes = 4096;
+
+int g_descriptor = STDERR_FILENO;
+LineBudget g_usual_lines;
+LineBudget g_urgent_lines;
+std::uint64_t g_dropped = 0;
+
+// The lock is held.
+bool WriteAtOnce(std::string_view bytes) {
+  pollfd state{g_descriptor, POLLOUT, 0};
+  if (::poll(&state, 1, 0) != 1 || (state.revents & POLLOUT) == 0) {
+    return false;
+  }
+  return ::write(g_descriptor, bytes.data(), bytes.size()) ==
+         static_cast<ssize_t>(bytes.size());
+}
+
+void Emit(LogLevel level, std::string line) {
+  line.resize(std::min(line.size(), kMostLineBytes - 64));
+  const auto now = std::chrono::steady_clock::now();
+  const RankedLock lock(g_mutex);
+  LineBudget& budget =
+      level >= LogLevel::kWarning ? g_urgent_lines : g_usual_lines;
+  if (!budget.TrySpend(now)) {
+    ++g_dropped;
+    return;
+  }
+  if (g_dropped > 0) {
+    fmt::format_to(std::back_inserter(line), " lines_dropped={}", g_dropped);
+  }
+  line += '\n';
+  if (WriteAtOnce(line)) {
+    g_dropped = 0;
+  } else {
+    ++g_dropped;
+  }
+}
+
 }  // namespace
 
+void SetLogDescriptor(int descriptor) {
+  const RankedLock lock(g_mutex);
+  g_descriptor = descriptor;
+}
+
 std::optional<LogLevel> ParseLogLevel(std::string_view name) {
   for (const LogLevel level :
        {LogLevel::kDebug, LogLevel::kInfo, LogLevel::kWarning, LogLevel::kError,
@@ -106,9 +180,7 @@
     fmt::format_to(std::back_inserter(line), " {}=", field.key);
     AppendValue(field.value, line);
   }
-  line += '\n';
-  const RankedLock lock(g_mutex);
-  std::fwrite(line.data(), 1, line.size(), stderr);
+  Emit(level, std::move(line));
 }
 
 }  // namespace marigold
--- a/src/core/log.h
+++ b/src/core/log.h
@@ -29,8 +29,14 @@
 // Lines below this level are dropped. The default is `kInfo`.
 void SetLogLevel(LogLevel level);
 
-// Writes one line of key=value pairs to standard error. Values with spaces,
-// quotes or control characters are quoted and escaped.
+// Where lines go. The default is standard error; server processes log to
+// standard output.
+void SetLogDescriptor(int descriptor);
+
+// Writes one line of key=value pairs. Values with spaces, quotes or control
+// characters are quoted and escaped. Never waits for the reader: lines that the
+// descriptor does not take at once, or that exceed the bound on lines a second,
+// are dropped and counted in the next line that is written.
 void LogEvent(LogLevel level,
               std::string_view event,
               std::initializer_list<LogField> fields = {});
--- a/src/net/forward/forwarded_call.h
+++ b/src/net/forward/forwarded_call.h
@@ -4,6 +4,7 @@
 #include <fmt/format.h>
 
 #include <functional>
+#include <iterator>
 #include <memory>
 #include <optional>
 #include <string>
@@ -57,12 +58,14 @@
                 CallerRequest caller_request,
                 CallerHead caller_head,
                 ForwardPlan plan,
+                RouteVersion version_in_force,
                 std::size_t top_records,
                 std::function<void()> on_finished)
       : parts(call_parts),
         session(std::move(caller_session)),
         request(std::move(caller_request)),
         head(std::move(caller_head)),
+        routes_version(version_in_force),
         top(top_records),
         finished(std::move(on_finished)),
         replies(plan.targets.size()),
@@ -86,6 +89,7 @@
   // by the server's idle timeout; one that breaks may have carried it.
   static constexpr Duration kFreshForUnsafe = std::chrono::milliseconds(700);
   static constexpr Duration kFreshForSafe = std::chrono::seconds(60);
+  static constexpr std::size_t kMostLoggedFailures = 8;
 
   MonotonicTime Now() const { return this->parts.lane->Now(); }
 
@@ -187,7 +191,7 @@
   }
 
   void Fail(MonotonicTime now, const StartSend& step, SendFailure failure) {
-    this->last_failure = failure;
+    this->NoteFailure(now, step, failure);
     this->parts.counters.OnSendFailure(ToString(failure));
     this->Run(this->forwarding.OnFailure(now, step.send, failure));
   }
@@ -224,13 +228,13 @@
         this->Now() - this->forwarding.request().times.began;
     this->parts.counters.OnFinished(
         this->is_caller_gone ? "caller_gone" : ToString(state), latency);
+    this->LogFinished(latency);
     if (!this->is_caller_gone) {
       // A caller that nothing can be done for here may reach another entry VM
       // over a new connection.
       const bool closes =
           this->session->MustClose() || (state == ForwardState::kNotRun &&
                                          this->forwarding.sends_made() == 0);
-      this->LogUnlessWhole(latency);
       this->session->Answer(this->Encode(state, closes), closes);
     }
     this->finished();
@@ -280,28 +284,44 @@
         {stamps, this->replies.size() - stamps.size(), body}, closes);
   }
 
-  void LogUnlessWhole(Duration latency) const {
-    const bool is_whole =
-        this->forwarding.state() == ForwardState::kAnswered &&
-        this->forwarding.answered_targets() == this->replies.size();
-    if (is_whole) {
-      return;
-    }
+  // One line says how the request ended and what decided it. `failures` names
+  // the first failed sends: target, server, cause and time.
+  void LogFinished(Duration latency) const {
     const ForwardPlan& plan = this->forwarding.request();
     LogEvent(
         LogLevel::kInfo, "request_finished",
         {{"request", this->head.request.value()},
          {"route", plan.route.value()},
-         {"state", ToString(this->forwarding.state())},
+         {"routes_version", this->routes_version.value()},
+         {"state", this->is_caller_gone ? "caller_gone"
+                                        : ToString(this->forwarding.state())},
          {"targets", this->replies.size()},
          {"answered", this->forwarding.answered_targets()},
          {"sends", this->forwarding.sends_made()},
-         {"last_failure",
-          this->last_failure ? ToString(*this->last_failure) : "none"},
+         {"failures", this->failures.empty() ? "none" : this->failures},
          {"took_ms", ToMilliseconds(latency)},
+         {"answer_by_ms",
+          ToMilliseconds(plan.times.answer_by - plan.times.began)},
          {"limit_ms", ToMilliseconds(plan.times.limit - plan.times.began)}});
   }
 
+  void NoteFailure(MonotonicTime now,
+                   const StartSend& step,
+                   SendFailure failure) {
+    if (++this->failed_sends > kMostLoggedFailures) {
+      return;
+    }
+    const ListedServer server =
+        this->parts.backends.Access([&](BackendDirectory& directory) {
+          return directory.Listed(step.server);
+        });
+    fmt::format_to(
+        std::back_inserter(this->failures), "{}{}/{}:{}@{:.0f}ms",
+        this->failures.empty() ? "" : ",", server.service.value(),
+        server.server.value(), ToString(failure),
+        ToMilliseconds(now - this->forwarding.request().times.began));
+  }
+
   void StopTimer() {
     if (this->timer) {
       this->parts.lane->Cancel(*this->timer);
@@ -313,6 +333,7 @@
   std::shared_ptr<CallerSession> session;
   CallerRequest request;
   CallerHead head;
+  RouteVersion routes_version;
   std::size_t top;
   std::function<void()> finished;
   // By target.
@@ -321,7 +342,9 @@
   // By send; null once it has ended.
   std::vector<std::shared_ptr<BackendLink>> links;
   std::optional<BackendReply> last_error;
-  std::optional<SendFailure> last_failure;
+  // For the log.
+  std::string failures;
+  std::size_t failed_sends = 0;
   std::optional<Lane::TimerKey> timer;
   bool is_caller_gone = false;
   bool is_finished = false;
--- a/src/net/forward/forwarder.h
+++ b/src/net/forward/forwarder.h
@@ -90,7 +90,7 @@
     const std::shared_ptr<const RouteIndex> routes =
         this->shared.knows_routes() ? this->shared.lists.Routes() : nullptr;
     if (!routes) {
-      this->Refuse(session, "routes_unknown",
+      this->Refuse(session, request, "routes_unknown",
                    {kStatusUnavailable, "the routes are not known yet",
                     kStartRetryAfter});
       return;
@@ -101,15 +101,16 @@
         routes->Match(std::string_view(host.data(), host.size()),
                       std::string_view(target.data(), target.size()));
     if (route == nullptr) {
-      this->Refuse(session, "no_route",
+      this->Refuse(session, request, "no_route",
                    {kStatusNotFound, "no route matches", std::nullopt});
       return;
     }
-    this->Forward(session, *route, std::move(request));
+    this->Forward(session, *route, routes->table().version, std::move(request));
   }
 
   void Forward(const SessionPtr& session,
                const Route& route,
+               RouteVersion version,
                CallerRequest request) {
     CallerHead head = Dialect::ReadCaller(request);
     Duration& longest = this->longest_time_left[route.name];
@@ -133,7 +134,7 @@
     }
     auto call = std::make_shared<Call>(
         this->parts, session, std::move(request), std::move(head),
-        std::move(plan), top_records,
+        std::move(plan), version, top_records,
         [weak = this->weak_from_this(), raw = session.get()] {
           if (const auto self = weak.lock()) {
             self->calls.erase(raw);
@@ -152,9 +153,17 @@
   }
 
   void Refuse(const SessionPtr& session,
+              const CallerRequest& request,
               std::string_view reason,
               const OwnAnswer& answer) {
     this->shared.counters.OnRefused(reason);
+    const auto routes = this->shared.lists.Routes();
+    LogEvent(
+        LogLevel::kInfo, "request_refused",
+        {{"request", Dialect::ReadCaller(request).request.value()},
+         {"status", answer.status},
+         {"reason", reason},
+         {"routes_version", routes ? routes->table().version.value() : 0}});
     const bool closes = session->MustClose();
     session->Answer(Dialect::WriteOwn(answer, closes), closes);
   }
--- a/src/net/list_stream.cc
+++ b/src/net/list_stream.cc
@@ -114,6 +114,12 @@
     this->Subscribe(LogIndex());
     return;
   }
+  if (result == ListUpdateResult::kApplied && update.routes) {
+    LogEvent(LogLevel::kInfo, "routes_in_force",
+             {{"version", update.routes->version.value()},
+              {"index", update.to.value()},
+              {"control", ToString(this->current)}});
+  }
   this->SendHeartbeat();
   this->on_progress();
 }
--- a/src/programs/control_process.cc
+++ b/src/programs/control_process.cc
@@ -1,5 +1,7 @@
 #include "src/programs/control_process.h"
 
+#include <unistd.h>
+
 #include <utility>
 
 #include "src/core/log.h"
@@ -27,6 +29,7 @@
                                           kStreamHeartbeat)) {}
 
 Result<void> ControlProcess::Open(HttpHandler handler) {
+  SetLogDescriptor(STDOUT_FILENO);
   this->listing.OnChanged([hub = this->hub] { hub->NotifyListingChanged(); });
   BOOST_LEAF_ASSIGN(
       this->driver,
--- a/src/programs/entry_process.cc
+++ b/src/programs/entry_process.cc
@@ -1,5 +1,7 @@
 #include "src/programs/entry_process.h"
 
+#include <unistd.h>
+
 #include <algorithm>
 #include <cstdlib>
 #include <utility>
@@ -66,6 +68,7 @@
                [this] { return this->server->open_connections(); }}) {}
 
 int EntryProcess::Run() {
+  SetLogDescriptor(STDOUT_FILENO);
   if (!this->Listen() || !this->StartControl()) {
     this->pool.Stop();
     return 1;
--- a/src/programs/forward_process.h
+++ b/src/programs/forward_process.h
@@ -2,6 +2,7 @@
 #define SRC_PROGRAMS_FORWARD_PROCESS_H_
 
 #include <fmt/format.h>
+#include <unistd.h>
 
 #include <atomic>
 #include <memory>
@@ -39,6 +40,7 @@
 
   // Serves until a signal ends the process; gives the exit code.
   int Run() {
+    SetLogDescriptor(STDOUT_FILENO);
     const auto opened = Capture<bool>([this]() -> Result<bool> {
       BOOST_LEAF_CHECK(this->Open());
       return true;
@@ -155,7 +157,10 @@
           return directory.Apply(now, *servers);
         });
     LogEvent(LogLevel::kInfo, "listing_applied",
-             {{"servers", servers->size()}, {"retired", retired.size()}});
+             {{"servers", servers->size()},
+              {"retired", retired.size()},
+              {"hash", this->listing.Summary().hash.value()},
+              {"age_ms", this->ListingAgeMs()}});
     for (const auto& [lane, forwarder] : this->forwarders) {
       lane->Post(
           [forwarder = forwarder, retired] { forwarder->Retire(retired); });
@@ -227,17 +232,21 @@
     return is_cut_off;
   }
 
+  // -1 without a listing.
+  double ListingAgeMs() const {
+    const ListingSummary summary = this->listing.Summary();
+    return summary.observed_at
+               ? ToMilliseconds(this->clock.Now() - *summary.observed_at)
+               : -1.0;
+  }
+
   std::string State() const {
     const auto routes = this->lists.Routes();
-    const ListingSummary summary = this->listing.Summary();
     return fmt::format(
         R"({{"routes_version":{},"listed_servers":{},"listing_age_ms":{:.0f},)"
         R"("connections":{},"leaving":{}}})",
         routes ? routes->table().version.value() : 0,
-        this->listing.Servers()->size(),
-        summary.observed_at
-            ? ToMilliseconds(this->clock.Now() - *summary.observed_at)
-            : -1.0,
+        this->listing.Servers()->size(), this->ListingAgeMs(),
         this->door->open_connections(), this->is_leaving.load());
   }
 
