Short pauses do not make a server slow

Cause: every backend server pauses for 120 to 150 ms every few seconds; one sample from a pause made its slowness 3.5, with a half-life of 4 s, so that the server nearby was passed over most of the time. Change: slow attempts count fully only if they began more than 200 ms apart with no ordinary one in between.

--- a/src/policy/backend_directory.cc
+++ b/src/policy/backend_directory.cc
@@ -9,6 +9,11 @@
 
 // Weight of the newest latency.
 constexpr double kSlownessWeight = 0.25;
+// Servers pause now and then. Slow attempts count as such only if they began
+// further apart than a pause lasts, without an ordinary one in between.
+constexpr double kSlowSample = 2.5;
+constexpr Duration kLongestPause = std::chrono::milliseconds(200);
+constexpr double kPausedSample = 1.2;
 // A single sample counts at most this many times the typical latency.
 constexpr double kMostSlowness = 20;
 // What was observed of a server that gets no attempts loses half of its weight
@@ -148,7 +153,7 @@
                                 const std::optional<ReportedLoad>& load) {
   Server& server = this->At(index);
   if (expected > Duration::zero()) {
-    this->AddSlowness(now, server, Ratio(latency, expected));
+    this->AddSlowness(now, server, latency, expected);
   }
   this->AddOutcome(now, server, false);
   this->NoteAnswer(now, server);
@@ -197,7 +202,7 @@
                                     bool answered) {
   Server& server = this->At(index);
   if (expected > Duration::zero()) {
-    this->AddSlowness(now, server, Ratio(elapsed, expected));
+    this->AddSlowness(now, server, elapsed, expected);
   }
   if (answered) {
     this->NoteAnswer(now, server);
@@ -249,7 +254,7 @@
   const double sample = Ratio(elapsed, expected);
   // The answer would have taken longer than this.
   if (expected > Duration::zero() && sample > this->SlownessOf(now, server)) {
-    this->AddSlowness(now, server, sample);
+    this->AddSlowness(now, server, elapsed, expected);
   }
   if (elapsed >= std::max(expected * kSilentOverTypical, kShortestSilence)) {
     this->OnSilent(server);
@@ -368,7 +373,18 @@
 
 void BackendDirectory::AddSlowness(MonotonicTime now,
                                    Server& server,
-                                   double sample) {
+                                   Duration elapsed,
+                                   Duration expected) {
+  double sample = Ratio(elapsed, expected);
+  if (sample < kSlowSample) {
+    server.slow_since.reset();
+  } else {
+    const MonotonicTime began = now - elapsed;
+    server.slow_since = std::min(server.slow_since.value_or(began), began);
+    if (began - *server.slow_since < kLongestPause) {
+      sample = kPausedSample;
+    }
+  }
   const double known = this->SlownessOf(now, server);
   server.slowness =
       known + kSlownessWeight * (std::min(sample, kMostSlowness) - known);
--- a/src/policy/backend_directory.h
+++ b/src/policy/backend_directory.h
@@ -145,6 +145,8 @@
     // Latency over the service's typical one; 1 is typical.
     double slowness = 1;
     MonotonicTime slowness_at;
+    // When the first slow attempt after the last ordinary one began.
+    std::optional<MonotonicTime> slow_since;
     // Share of the recent attempts that failed.
     double failing = 0;
     MonotonicTime failing_at;
@@ -207,7 +209,11 @@
   double SlownessOf(MonotonicTime now, const Server& server) const;
   double FailingOf(MonotonicTime now, const Server& server) const;
   void AddOutcome(MonotonicTime now, Server& server, bool failed);
-  void AddSlowness(MonotonicTime now, Server& server, double sample);
+  // `elapsed` has passed since the attempt began.
+  void AddSlowness(MonotonicTime now,
+                   Server& server,
+                   Duration elapsed,
+                   Duration expected);
   ServerView ViewOf(MonotonicTime now,
                     ServerIndex index,
                     const Server& server,
--- a/tests/backend_directory_test.cc
+++ b/tests/backend_directory_test.cc
@@ -123,6 +123,7 @@
   Fixture fixture;
   for (int i = 0; i < 5; ++i) {
     const auto placed = fixture.Place({ServerIndex(2), ServerIndex(3)});
+    fixture.now += milliseconds(200);
     fixture.directory.OnAnswer(fixture.now, *placed, milliseconds(200),
                                milliseconds(10), std::nullopt);
   }
@@ -161,4 +162,24 @@
   cr_assert(fixture.Place(local).has_value(), "the answer ends the cut");
 }
 
+// Guards against a server that is passed over for seconds after a short pause.
+Test(BackendDirectory, PauseDoesNotMakeAServerSlow) {
+  Fixture fixture;
+  for (int pause = 0; pause < 3; ++pause) {
+    for (int i = 0; i < 4; ++i) {
+      fixture.Place({ServerIndex(2), ServerIndex(3)});
+    }
+    fixture.now += milliseconds(150);
+    for (int i = 0; i < 4; ++i) {
+      fixture.directory.OnAnswer(fixture.now, ServerIndex(1), milliseconds(150),
+                                 milliseconds(10), std::nullopt);
+    }
+    const auto placed = fixture.Place();
+    cr_assert_eq(fixture.NameOf(placed), std::string("a"));
+    fixture.directory.OnAnswer(fixture.now, *placed, milliseconds(10),
+                               milliseconds(10), std::nullopt);
+    fixture.now += seconds(3);
+  }
+}
+
 }  // namespace marigold
