--- /dev/null
+++ b/tests/config_codec_test.cc
@@ -0,0 +1,100 @@
+#include "platform/config_codec.h"
+
+#include <criterion/criterion.h>
+
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "tests/row_indices.h"
+
+namespace marigold::platform {
+
+namespace {
+
+constexpr std::string_view kConfig = R"({"Version":7,"Routes":[
+  {"Name":"all","Host":"a.example","PathPrefix":"/x/","RouteType":"idempotent",
+   "TimeoutMs":600,"TargetLatencyMs":100,"Priority":1,"Gather":["s1","s2"],
+   "Attempts":2,"TopK":50,"MinCoverage":0.89},
+  {"Name":"one","Host":"b.example","PathPrefix":"/y/",
+   "RouteType":"non_idempotent","TimeoutMs":2000,"Backend":"s1","Attempts":3},
+  {"Name":"split","Host":"b.example","PathPrefix":"/z/",
+   "RouteType":"idempotent","TimeoutMs":2000,
+   "TrafficSplit":[{"Backend":"s1","Weight":3},{"Backend":"s2","Weight":0}]}],
+  "Backends":[{"Name":"s1","HealthPath":"/health","MaxConnections":56},
+              {"Name":"s2"}],
+  "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":262144,
+            "HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},
+  "Later":{"unknown":true}})";
+
+std::string Replaced(std::string_view from, std::string_view to) {
+  std::string text(kConfig);
+  const std::size_t at = text.find(from);
+  cr_assert(at != std::string::npos, "no such text");
+  return text.replace(at, from.size(), to);
+}
+
+struct ConfigRow {
+  const char* from;
+  const char* to;
+  // Part of the error.
+  const char* expected;
+};
+
+const ConfigRow kWrongConfigs[] = {
+    {"\"Version\":7", "\"Version\":\"7\"", "Version"},
+    {"\"Version\":7,", "", "Version"},
+    {"\"TimeoutMs\":600", "\"TimeoutMs\":0", "Routes[0].TimeoutMs"},
+    {"\"TimeoutMs\":600,", "", "Routes[0].TimeoutMs"},
+    {"\"Host\":\"a.example\"", "\"Host\":5", "Routes[0].Host"},
+    {"\"Weight\":3", "\"Weight\":-3", "Weight"},
+    {"\"Backend\":\"s1\",\"Attempts\"", "\"Attempts\"", "Routes[1].Backend"},
+    {"\"Gather\":[\"s1\",\"s2\"]", "\"Gather\":[1]", "Gather"},
+    {"\"Name\":\"s2\"", "\"Nam\":\"s2\"", "Backends[1].Name"},
+    {"\"MaxBodyBytes\":262144", "\"MaxBodyBytes\":{}", "MaxBodyBytes"},
+    {"\"Later\":{\"unknown\":true}}", "", ""},
+};
+
+bool Contains(const std::string& text, std::string_view part) {
+  return text.find(part) != std::string::npos;
+}
+
+}  // namespace
+
+// Guards against fields that are read into the wrong place.
+Test(ConfigCodec, DecodesEveryKindOfRoute) {
+  const auto decoded =
+      Capture<RouteTable>([] { return DecodeConfig(kConfig); });
+  const auto* table = std::get_if<RouteTable>(&decoded);
+  cr_assert(
+      table != nullptr, "%s",
+      table == nullptr ? ToString(std::get<AnyError>(decoded)).c_str() : "");
+  cr_assert(CheckRoutes(*table).empty());
+  cr_assert_eq(table->version.value(), 7U);
+  cr_assert_eq(table->routes[0].fan_out->shards.size(), 2U);
+  cr_assert_eq(table->routes[0].fan_out->top_records, 50U);
+  cr_assert(table->routes[0].is_idempotent);
+  cr_assert_not(table->routes[1].is_idempotent);
+  cr_assert_eq(table->routes[1].attempts, 3U);
+  cr_assert_eq(table->routes[2].services[0].weight, 3U);
+  cr_assert_eq(table->services[0].connection_limit, 56U);
+  cr_assert_eq(table->limits.body_bytes, 262'144U);
+}
+
+ParameterizedTestParameters(ConfigCodec, WrongFieldIsNamed) {
+  return RowIndices(kWrongConfigs);
+}
+
+// Guards against a configuration in force that was not read in full.
+ParameterizedTest(std::size_t* index, ConfigCodec, WrongFieldIsNamed) {
+  const ConfigRow& row = kWrongConfigs[*index];
+  const std::string body = Replaced(row.from, row.to);
+  const auto decoded = Capture<RouteTable>([&] { return DecodeConfig(body); });
+  const auto* error = std::get_if<AnyError>(&decoded);
+  cr_assert(error != nullptr, "row %zu: expected an error", *index);
+  const std::string actual = ToString(*error);
+  cr_assert(Contains(actual, row.expected), "row %zu: expected %s, actual %s",
+            *index, row.expected, actual.c_str());
+}
+
+}  // namespace marigold::platform
--- /dev/null
+++ b/tests/http_dialect_test.cc
@@ -0,0 +1,127 @@
+#include "platform/http_dialect.h"
+
+#include <criterion/criterion.h>
+
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "tests/row_indices.h"
+
+namespace marigold::platform {
+
+namespace {
+
+BackendReply Reply(
+    unsigned status,
+    const std::vector<std::pair<const char*, const char*>>& fields) {
+  BackendReply reply;
+  reply.result(status);
+  for (const auto& [name, value] : fields) {
+    reply.insert(name, value);
+  }
+  return reply;
+}
+
+struct ReplyRow {
+  const char* behaviour;
+  BackendReply reply;
+  bool not_executed;
+  bool is_other_server;
+  bool has_stamp;
+  bool is_encoded;
+};
+
+const ReplyRow kReplies[] = {
+    {"a success", Reply(200, {{"X-Server-Stamp", "s"}}), false, false, true,
+     false},
+    {"a success that claims not to have run",
+     Reply(200, {{"X-Server-Stamp", "s"}, {"X-Not-Executed", "1"}}), false,
+     false, true, false},
+    {"a full server", Reply(503, {{"X-Not-Executed", "1"}}), true, false, false,
+     false},
+    {"a failure that may have run", Reply(503, {{"X-Server-Stamp", "s"}}),
+     false, false, true, false},
+    {"another server", Reply(421, {{"X-Not-Executed", "1"}}), true, true, false,
+     false},
+    {"an encoded body",
+     Reply(200, {{"X-Server-Stamp", "s"}, {"Content-Encoding", "gzip"}}), false,
+     false, true, true},
+};
+
+CallerRequest Request() {
+  CallerRequest request;
+  request.method_string("POST");
+  request.target("/x/1?q=a%20b");
+  request.version(11);
+  request.set("Host", "a.example");
+  request.set("X-Request-Id", "id-1");
+  request.set("X-Deadline-Ms", "800");
+  request.set("X-Expect-Instance", "forged");
+  request.set("Connection", "keep-alive, X-Hop");
+  request.set("X-Hop", "1");
+  request.insert("X-Twice", "a");
+  request.insert("X-Twice", "b");
+  request.set("Transfer-Encoding", "chunked");
+  request.body() = "body";
+  return request;
+}
+
+bool Contains(const std::string& text, std::string_view part) {
+  return text.find(part) != std::string::npos;
+}
+
+}  // namespace
+
+ParameterizedTestParameters(HttpDialect, ReplySaysWhetherItRan) {
+  return RowIndices(kReplies);
+}
+
+// Guards against a promise that a request has not run where it may have.
+ParameterizedTest(std::size_t* index, HttpDialect, ReplySaysWhetherItRan) {
+  const ReplyRow& row = kReplies[*index];
+  const ReplyHead head = HttpDialect::ReadReply(row.reply);
+  cr_assert_eq(head.not_executed, row.not_executed, "%s", row.behaviour);
+  cr_assert_eq(head.is_other_server, row.is_other_server, "%s", row.behaviour);
+  cr_assert_eq(!head.stamp.empty(), row.has_stamp, "%s", row.behaviour);
+  cr_assert_eq(head.is_encoded, row.is_encoded, "%s", row.behaviour);
+}
+
+// Guards against a request that reaches the backend server changed, and against
+// a deadline or an identity that the caller chose.
+Test(HttpDialect, SendKeepsTheRequestAndReplacesWhatIsOurs) {
+  const std::string sent = HttpDialect::WriteSend(
+      Request(), {BackendServerId("i-1"), std::chrono::milliseconds(250)});
+  cr_assert(sent.starts_with("POST /x/1?q=a%20b HTTP/1.1\r\n"));
+  cr_assert(sent.ends_with("Content-Length: 4\r\n\r\nbody"));
+  cr_assert(Contains(sent, "X-Request-Id: id-1\r\n"));
+  cr_assert(Contains(sent, "X-Deadline-Ms: 250\r\n"));
+  cr_assert(Contains(sent, "X-Expect-Instance: i-1\r\n"));
+  cr_assert(Contains(sent, "X-Twice: a\r\nX-Twice: b\r\n"));
+  cr_assert_not(Contains(sent, "800"));
+  cr_assert_not(Contains(sent, "forged"));
+  cr_assert_not(Contains(sent, "X-Hop"));
+  cr_assert_not(Contains(sent, "chunked"));
+}
+
+// Guards against a merged answer whose parts can't be checked.
+Test(HttpDialect, MergedAnswerNamesItsParts) {
+  const std::string_view stamps[] = {"a", "b"};
+  const std::string answer =
+      HttpDialect::WriteMerged({stamps, 1, "records"}, false);
+  cr_assert(answer.starts_with("HTTP/1.1 200 OK\r\n"));
+  cr_assert(Contains(answer, "X-Part-Stamps: a, b\r\n"));
+  cr_assert(Contains(answer, "X-Missing-Parts: 1\r\n"));
+  cr_assert(answer.ends_with("Content-Length: 7\r\n\r\nrecords"));
+}
+
+// Guards against a caller that does not know when to come back.
+Test(HttpDialect, RefusalSaysWhenToComeBack) {
+  const std::string answer = HttpDialect::WriteOwn(
+      {503, "later", std::chrono::milliseconds(400)}, true);
+  cr_assert(Contains(answer, "Retry-After: 0.400\r\n"));
+  cr_assert(Contains(answer, "Connection: close\r\n"));
+}
+
+}  // namespace marigold::platform
--- /dev/null
+++ b/tests/platform/platform_standin.cc
@@ -0,0 +1,214 @@
+// The platform's list and its backend servers as one process, for tests that
+// run the real programs. Misbehaves on request of the caller: the path says
+// how.
+
+#include <fmt/format.h>
+
+#include <atomic>
+#include <fstream>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "src/core/log.h"
+#include "src/core/settings.h"
+#include "src/net/forward/caller_door.h"
+#include "src/net/http_server.h"
+
+namespace marigold {
+
+namespace {
+
+constexpr std::size_t kMostConnections = 1'000;
+constexpr std::uint16_t kServerPort = 9000;
+
+struct StandinSettings {
+  Endpoint list{"127.0.0.1", 7300};
+  std::string services = "s1,s2";
+  std::int64_t replicas = 3;
+  // The first three numbers of the servers' addresses.
+  std::string network = "127.52.1";
+  std::string data_centre = "dc1";
+  // Takes a line for each request that ran.
+  std::string record = "/dev/null";
+};
+
+struct Server {
+  std::string id;
+  std::string service;
+  std::string address;
+};
+
+std::string FieldOf(const CallerRequest& request, const char* name) {
+  const auto found = request.find(name);
+  return found == request.end()
+             ? ""
+             : std::string(found->value().data(), found->value().size());
+}
+
+// The record of what ran, shared by all servers.
+class Record {
+ public:
+  explicit Record(const std::string& path) : file(path, std::ios::app) {}
+
+  void Add(const std::string& line) {
+    const std::lock_guard lock(this->mutex);
+    this->file << line << std::endl;
+  }
+
+ private:
+  std::mutex mutex;
+  std::ofstream file;
+};
+
+class Standin {
+ public:
+  explicit Standin(const StandinSettings& standin_settings)
+      : settings(standin_settings), record(standin_settings.record), pool(2) {
+    int last = 0;
+    for (const std::string& service : Split(this->settings.services, ',')) {
+      for (std::int64_t i = 0; i < this->settings.replicas; ++i) {
+        this->servers.push_back(
+            {fmt::format("i-{}-{}", service, i), service,
+             fmt::format("{}.{}", this->settings.network, ++last)});
+      }
+    }
+  }
+
+  Result<void> Open() {
+    const std::vector<std::shared_ptr<Lane>> lanes{
+        std::make_shared<Lane>(this->pool)};
+    for (const Server& server : this->servers) {
+      BOOST_LEAF_AUTO(
+          door,
+          CallerDoor::Listen(this->pool, {server.address, kServerPort}, lanes,
+                             kMostConnections, [this, server](const auto&) {
+                               return this->HandlersOf(server);
+                             }));
+      this->doors.push_back(std::move(door));
+    }
+    BOOST_LEAF_ASSIGN(this->list,
+                      HttpServer::Listen(this->pool, this->settings.list, {},
+                                         [this](const HttpRequest&,
+                                                const HttpResponder& respond) {
+                                           HttpResponse response;
+                                           response.body = this->ListBody();
+                                           respond(response);
+                                         }));
+    return {};
+  }
+
+  void Wait() {
+    this->pool.OnSignals([this](int) { this->pool.Finish(); });
+    this->pool.WaitUntilFinished();
+    this->pool.Stop();
+  }
+
+ private:
+  std::string ListBody() const {
+    std::string entries;
+    for (const Server& server : this->servers) {
+      entries += fmt::format(
+          R"({}{{"Id":"{}","Backend":"{}","Address":"{}:{}","Zone":"{}",)"
+          R"("Version":"v1","Capacity":4,"State":"ready",)"
+          R"("ColdRemainingMs":0}})",
+          entries.empty() ? "" : ",", server.id, server.service, server.address,
+          kServerPort, this->settings.data_centre);
+    }
+    return fmt::format(
+        R"({{"Instances":[{},{{"Id":"broken"}}],"NextPageToken":null}})",
+        entries);
+  }
+
+  CallerHandlers HandlersOf(const Server& server) {
+    CallerHandlers handlers;
+    handlers.on_request = [this, server](
+                              const std::shared_ptr<CallerSession>& session,
+                              const CallerRequest& request) {
+      this->Answer(server, session, request);
+    };
+    handlers.on_gone = [](const std::shared_ptr<CallerSession>&) {};
+    handlers.limits = [] { return CallerLimits(); };
+    return handlers;
+  }
+
+  void Answer(const Server& server,
+              const std::shared_ptr<CallerSession>& session,
+              const CallerRequest& request) {
+    const std::string target(request.target().data(), request.target().size());
+    if (FieldOf(request, "X-Expect-Instance") != server.id) {
+      session->Answer(Reply(server, request, 421, "X-Not-Executed: 1\r\n", ""),
+                      false);
+      return;
+    }
+    if (target.find("/full") != std::string::npos) {
+      session->Answer(Reply(server, request, 503, "X-Not-Executed: 1\r\n", ""),
+                      false);
+      return;
+    }
+    this->record.Add(fmt::format("{} {} {}", FieldOf(request, "X-Request-Id"),
+                                 server.service, server.id));
+    if (target.find("/silent") != std::string::npos) {
+      return;
+    }
+    // Two records of 16 bytes and a remainder.
+    const std::string body(34, server.service.back());
+    session->Answer(Reply(server, request, 200, "", body), false);
+  }
+
+  std::string Reply(const Server& server,
+                    const CallerRequest& request,
+                    int status,
+                    const std::string& fields,
+                    const std::string& body) {
+    return fmt::format(
+        "HTTP/1.1 {} Answer\r\nX-Request-Id: {}\r\nX-Server-Stamp: {}.{}\r\n"
+        "X-Server-Load: 1,0,4\r\n{}Content-Length: {}\r\n\r\n{}",
+        status, FieldOf(request, "X-Request-Id"), server.id, ++this->last_stamp,
+        fields, body.size(), body);
+  }
+
+  StandinSettings settings;
+  std::vector<Server> servers;
+  Record record;
+  std::atomic<std::uint64_t> last_stamp = 0;
+  WorkerPool pool;
+  std::vector<std::unique_ptr<CallerDoor>> doors;
+  std::unique_ptr<HttpServer> list;
+};
+
+}  // namespace
+
+}  // namespace marigold
+
+int main(int argc, char** argv) {
+  marigold::StandinSettings settings;
+  marigold::SettingsTable table("platform-standin",
+                                "Backend servers and their list for tests.");
+  table.AddEndpoint("list", settings.list, "Address of the list.");
+  table.AddText("services", settings.services, "ids", "Services, with commas.");
+  table.AddNumber("replicas", settings.replicas, 1, 20, "servers",
+                  "Servers of each service.");
+  table.AddText("network", settings.network, "numbers",
+                "The first three numbers of the servers' addresses.");
+  table.AddText("data-centre", settings.data_centre, "id",
+                "Data centre of the servers.");
+  table.AddText("record", settings.record, "file", "Takes what has run.");
+  const auto outcome = marigold::ParseSettings(table, argc, argv);
+  if (const auto code = marigold::ReportSettings(table, outcome)) {
+    return *code;
+  }
+  marigold::Standin standin(settings);
+  const auto opened = marigold::Capture<bool>([&]() -> marigold::Result<bool> {
+    BOOST_LEAF_CHECK(standin.Open());
+    return true;
+  });
+  if (const auto* error = std::get_if<marigold::AnyError>(&opened)) {
+    fmt::print(stderr, "platform-standin: {}\n", marigold::ToString(*error));
+    return 1;
+  }
+  standin.Wait();
+  return 0;
+}
