Entry VMs follow a control VM of their own data centre

Without observations the second send went out after a quarter of the target latency, too soon for cold servers. Change: members carry their data centre and heartbeats name it, an entry VM moves to a control VM nearby and names the listing it has; a request without a written byte is refused as not run; the first hedges wait half the target.

--- a/src/net/control_driver_outputs.cc
+++ b/src/net/control_driver_outputs.cc
@@ -213,7 +213,7 @@
 
 Member ControlDriver::Impl::OwnMember() const {
   Member member{this->disk, this->settings.vm, this->settings.address,
-                this->settings.join_as};
+                this->settings.join_as, this->settings.data_centre};
   if (this->replica) {
     if (const Member* listed = this->replica->membership().Find(this->disk)) {
       member.role = listed->role;
--- a/src/net/forward/backend_link.cc
+++ b/src/net/forward/backend_link.cc
@@ -110,6 +110,9 @@
   }
   this->exchange = std::move(next);
   this->state = State::kBusy;
+  if (this->exchange->on_begin) {
+    this->exchange->on_begin();
+  }
   this->is_written = false;
   this->parser.emplace();
   this->parser->eager(true);
--- a/src/net/forward/backend_link.h
+++ b/src/net/forward/backend_link.h
@@ -29,6 +29,8 @@
   bool is_head = false;
   // False for a reply to another request, which is skipped.
   std::function<bool(const BackendReply&)> is_mine;
+  // Called before the first byte is written.
+  std::function<void()> on_begin;
   // Called at most once, on the lane.
   std::function<void(LinkOutcome)> on_outcome;
 };
--- a/src/net/forward/forwarded_call.h
+++ b/src/net/forward/forwarded_call.h
@@ -133,6 +133,11 @@
       const std::string_view named = Dialect::ReadReply(reply).request;
       return named.empty() || named == id.value();
     };
+    exchange.on_begin = [weak = this->weak_from_this()] {
+      if (const auto self = weak.lock()) {
+        ++self->sends_that_may_run;
+      }
+    };
     exchange.on_outcome = [weak = this->weak_from_this(),
                            step](LinkOutcome outcome) {
       if (const auto self = weak.lock()) {
@@ -191,6 +196,10 @@
   }
 
   void Fail(MonotonicTime now, const StartSend& step, SendFailure failure) {
+    if (failure == SendFailure::kNotExecuted ||
+        failure == SendFailure::kOtherServer) {
+      --this->sends_that_may_run;
+    }
     this->NoteFailure(now, step, failure);
     this->parts.counters.OnSendFailure(ToString(failure));
     this->Run(this->forwarding.OnFailure(now, step.send, failure));
@@ -223,7 +232,7 @@
   void Finish() {
     this->is_finished = true;
     this->StopTimer();
-    const ForwardState state = this->forwarding.state();
+    const ForwardState state = this->FinalState();
     const Duration latency =
         this->Now() - this->forwarding.request().times.began;
     this->parts.counters.OnFinished(
@@ -240,6 +249,15 @@
     this->finished();
   }
 
+  // A request of which no byte was written anywhere has surely not run.
+  ForwardState FinalState() const {
+    const ForwardState state = this->forwarding.state();
+    const bool has_failed =
+        state == ForwardState::kFailed || state == ForwardState::kTimedOut;
+    return has_failed && this->sends_that_may_run == 0 ? ForwardState::kNotRun
+                                                       : state;
+  }
+
   std::string Encode(ForwardState state, bool closes) {
     if (state == ForwardState::kAnswered) {
       return this->forwarding.request().is_fan_out
@@ -293,8 +311,8 @@
         {{"request", this->head.request.value()},
          {"route", plan.route.value()},
          {"routes_version", this->routes_version.value()},
-         {"state", this->is_caller_gone ? "caller_gone"
-                                        : ToString(this->forwarding.state())},
+         {"state",
+          this->is_caller_gone ? "caller_gone" : ToString(this->FinalState())},
          {"targets", this->replies.size()},
          {"answered", this->forwarding.answered_targets()},
          {"sends", this->forwarding.sends_made()},
@@ -342,6 +360,7 @@
   // By send; null once it has ended.
   std::vector<std::shared_ptr<BackendLink>> links;
   std::optional<BackendReply> last_error;
+  std::size_t sends_that_may_run = 0;
   // For the log.
   std::string failures;
   std::size_t failed_sends = 0;
--- a/src/net/list_stream.cc
+++ b/src/net/list_stream.cc
@@ -131,8 +131,9 @@
 
 void ListStream::OnHeartbeat(const StreamHeartbeat& heartbeat) {
   const MonotonicTime now = this->clock.Now();
-  for (const Endpoint& control : heartbeat.controls) {
-    this->choice.Learn(control);
+  for (const ControlPlace& control : heartbeat.controls) {
+    this->choice.Learn(control.endpoint,
+                       control.data_centre == this->settings.data_centre);
   }
   if (heartbeat.listing_age) {
     this->listing.Confirm(heartbeat.listing, now - *heartbeat.listing_age);
@@ -141,6 +142,11 @@
   if (heartbeat.has_quorum) {
     this->choice.OnGood(this->current);
     this->confirmed_index = heartbeat.index;
+    if (this->choice.HasNearer(now, this->current)) {
+      LogEvent(LogLevel::kInfo, "control_nearer",
+               {{"left", ToString(this->current)}});
+      this->connection->Close();
+    }
   } else {
     this->confirmed_index.reset();
     this->choice.OnNoQuorum(now, this->current);
@@ -171,8 +177,9 @@
 }
 
 void ListStream::Subscribe(LogIndex have) {
-  this->connection->Send(EncodeControlMessage(marigold::Subscribe{
-      this->settings.vm, this->settings.data_centre, have}));
+  this->connection->Send(EncodeControlMessage(
+      marigold::Subscribe{this->settings.vm, this->settings.data_centre, have,
+                          this->listing.Summary().hash}));
 }
 
 void ListStream::SendHeartbeat() {
--- a/src/net/subscriber_hub.cc
+++ b/src/net/subscriber_hub.cc
@@ -159,7 +159,7 @@
       heartbeat.listing_age = this->clock.Now() - *listed.observed_at;
     }
     for (const Member& member : status.membership.members) {
-      heartbeat.controls.push_back(member.address);
+      heartbeat.controls.push_back({member.address, member.data_centre});
     }
     const RankedLock lock(this->mutex);
     const std::size_t parts =
@@ -267,6 +267,7 @@
     subscriber.sent = request.have;
     subscriber.index = request.have;
     subscriber.wants_whole = request.have == LogIndex();
+    subscriber.listing = request.listing;
     ++subscriber.request;
     subscriber.heard_at = this->impl->clock.Now();
   }
--- a/src/policy/control_choice.cc
+++ b/src/policy/control_choice.cc
@@ -14,13 +14,17 @@
 // A control VM that was cut off is asked again after this.
 constexpr Duration kNoQuorumWait = std::chrono::seconds(2);
 
+// A stream that works is not left for a nearer control VM that failed lately.
+constexpr Duration kNearerWait = std::chrono::seconds(10);
+
 }  // namespace
 
 ControlChoice::ControlChoice(std::vector<Endpoint> endpoints,
                              std::uint64_t seed)
     : random(seed) {
   for (Endpoint& endpoint : endpoints) {
-    this->candidates.push_back({std::move(endpoint), 0, MonotonicTime::min()});
+    this->candidates.push_back(
+        {std::move(endpoint), 0, false, MonotonicTime::min()});
   }
   for (std::size_t i = this->candidates.size(); i > 1; --i) {
     std::swap(this->candidates[i - 1], this->candidates[this->random.Below(i)]);
@@ -45,6 +49,7 @@
 
 void ControlChoice::OnNoQuorum(MonotonicTime now, const Endpoint& endpoint) {
   if (Candidate* candidate = this->Find(endpoint)) {
+    candidate->failures = std::max(candidate->failures, 1U);
     candidate->not_before = now + kNoQuorumWait;
   }
 }
@@ -56,10 +61,11 @@
   }
 }
 
-void ControlChoice::Learn(const Endpoint& endpoint) {
+void ControlChoice::Learn(const Endpoint& endpoint, bool is_near) {
   if (this->Find(endpoint) == nullptr) {
-    this->candidates.push_back({endpoint, 0, MonotonicTime::min()});
+    this->candidates.push_back({endpoint, 0, false, MonotonicTime::min()});
   }
+  this->Find(endpoint)->is_near = is_near;
 }
 
 ControlChoice::Turn ControlChoice::Next(MonotonicTime now) {
@@ -67,9 +73,17 @@
   std::size_t best = (this->last + 1) % count;
   for (std::size_t step = 1; step <= count; ++step) {
     const std::size_t i = (this->last + step) % count;
+    const bool waits = this->candidates[best].not_before > now;
+    const bool is_nearer =
+        this->candidates[i].is_near && !this->candidates[best].is_near;
     if (this->candidates[i].not_before <= now) {
-      best = i;
-      break;
+      if (waits || is_nearer) {
+        best = i;
+      }
+      continue;
+    }
+    if (!waits) {
+      continue;
     }
     if (this->candidates[i].not_before < this->candidates[best].not_before) {
       best = i;
@@ -80,6 +94,22 @@
   return {chosen.endpoint, std::max(now, chosen.not_before)};
 }
 
+bool ControlChoice::HasNearer(MonotonicTime now,
+                              const Endpoint& current) const {
+  const auto is_near = [&](const Candidate& candidate) {
+    return candidate.is_near && candidate.endpoint == current;
+  };
+  return std::none_of(this->candidates.begin(), this->candidates.end(),
+                      is_near) &&
+         std::any_of(
+             this->candidates.begin(), this->candidates.end(),
+             [&](const Candidate& candidate) {
+               const Duration wait =
+                   candidate.failures == 0 ? Duration::zero() : kNearerWait;
+               return candidate.is_near && candidate.not_before + wait <= now;
+             });
+}
+
 bool ControlChoice::HasOther(MonotonicTime now, const Endpoint& current) const {
   return std::any_of(this->candidates.begin(), this->candidates.end(),
                      [&](const Candidate& candidate) {
--- a/src/policy/control_choice.h
+++ b/src/policy/control_choice.h
@@ -34,14 +34,18 @@
   void OnNoQuorum(MonotonicTime now, const Endpoint& endpoint);
   void OnGood(const Endpoint& endpoint);
 
-  // Adds an endpoint unless it is known.
-  void Learn(const Endpoint& endpoint);
+  // Adds an endpoint unless it is known. One in the own data centre is turned
+  // to before others.
+  void Learn(const Endpoint& endpoint, bool is_near);
 
   // Takes the next turn; equal ones alternate.
   Turn Next(MonotonicTime now);
 
   // Queries.
 
+  // True if `current` is in another data centre and a control VM in the own one
+  // need not wait.
+  bool HasNearer(MonotonicTime now, const Endpoint& current) const;
   // True if a control VM other than `current` need not wait.
   bool HasOther(MonotonicTime now, const Endpoint& current) const;
 
@@ -49,6 +53,7 @@
   struct Candidate {
     Endpoint endpoint;
     std::uint32_t failures = 0;
+    bool is_near = false;
     MonotonicTime not_before = MonotonicTime::min();
   };
 
--- a/src/policy/forward_timing.cc
+++ b/src/policy/forward_timing.cc
@@ -15,7 +15,7 @@
 
 // Without observations a second server is asked after this part of the target
 // latency.
-constexpr int kUnknownHedgePart = 4;
+constexpr int kUnknownHedgePart = 2;
 
 constexpr Fraction kTypicalQuantile{0.5};
 // About this part of the sends is followed by a second one.
--- a/src/replication/types.h
+++ b/src/replication/types.h
@@ -39,12 +39,14 @@
   VmId vm;
   Endpoint address;
   MemberRole role = MemberRole::kLearner;
+  // Where the VM runs; entry VMs follow a control VM nearby.
+  DataCentreId data_centre{};
 
   bool operator==(const Member&) const = default;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(this->disk, this->vm, this->address, this->role);
+    archive(this->disk, this->vm, this->address, this->role, this->data_centre);
   }
 };
 
--- a/src/wire/control_messages.h
+++ b/src/wire/control_messages.h
@@ -41,6 +41,17 @@
   }
 };
 
+// Where a control VM listens and runs.
+struct ControlPlace {
+  Endpoint endpoint;
+  DataCentreId data_centre;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->endpoint, this->data_centre);
+  }
+};
+
 // A control VM whose disk is in no group introduces itself to a peer. A peer
 // that leads adds it to its group in the role of `self`, unless it is forming a
 // new group.
@@ -72,10 +83,12 @@
   VmId vm;
   DataCentreId data_centre;
   LogIndex have;
+  // The listing that the entry VM has.
+  ListingHash listing{};
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(this->vm, this->data_centre, this->have);
+    archive(this->vm, this->data_centre, this->have, this->listing);
   }
 };
 
@@ -92,8 +105,8 @@
   // The part of limits that hold for all entry VMs together which the receiver
   // may use. The parts never sum to more than 1.
   double share = 0;
-  // Where the members of the control group listen.
-  std::vector<Endpoint> controls{};
+  // The members of the control group.
+  std::vector<ControlPlace> controls{};
 
   template <class Archive>
   void serialize(Archive& archive) {
