The caller's round trip counts in when an answer is due

Change: the round trip that the system measured for the caller's connection, and 3 ms for the work, are taken off; 5 ms where it is unknown.

--- a/src/net/forward/caller_session.cc
+++ b/src/net/forward/caller_session.cc
@@ -1,6 +1,9 @@
 #include "src/net/forward/caller_session.h"
 
 #include <fmt/format.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 #include <boost/asio/write.hpp>
 #include <utility>
@@ -28,6 +31,17 @@
 constexpr int kBodyTooLarge = 413;
 constexpr int kHeaderTooLarge = 431;
 
+// The round trip that the handshake took.
+std::optional<Duration> MeasuredRoundTrip(int descriptor) {
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  if (::getsockopt(descriptor, IPPROTO_TCP, TCP_INFO, &info, &size) != 0 ||
+      info.tcpi_rtt == 0) {
+    return std::nullopt;
+  }
+  return Duration(info.tcpi_rtt);
+}
+
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
 }  // namespace
@@ -46,6 +60,7 @@
   ErrorCode ignored;
   this->socket.set_option(tcp::no_delay(true), ignored);
   this->socket.non_blocking(true, ignored);
+  this->caller_distance = MeasuredRoundTrip(this->socket.native_handle());
   this->BeginRequest();
 }
 
--- a/src/net/forward/caller_session.h
+++ b/src/net/forward/caller_session.h
@@ -68,6 +68,8 @@
 
   // True if the answer to the request in progress has to end the connection.
   bool MustClose() const;
+  // From the caller and back, as the system measured it; nothing if it did not.
+  std::optional<Duration> round_trip() const { return this->caller_distance; }
   bool has_request() const { return this->state == State::kHandling; }
 
  private:
@@ -109,6 +111,7 @@
   bool was_continued = false;
   std::string outgoing;
   std::size_t dropped_bytes = 0;
+  std::optional<Duration> caller_distance;
   // Since the state began.
   MonotonicTime since;
 };
--- a/src/net/forward/forwarder.h
+++ b/src/net/forward/forwarder.h
@@ -119,8 +119,8 @@
     }
     ForwardPlan plan;
     plan.route = route.name;
-    plan.times =
-        TimesOf(route, this->parts.lane->Now(), head.time_left, longest);
+    plan.times = TimesOf(route, this->parts.lane->Now(), head.time_left,
+                         session->round_trip(), longest);
     plan.is_idempotent = route.is_idempotent;
     plan.attempts = route.attempts;
     std::size_t top_records = 0;
--- a/src/policy/forward_timing.cc
+++ b/src/policy/forward_timing.cc
@@ -6,8 +6,10 @@
 
 namespace {
 
-// The answer has to be encoded, sent and read by the caller.
-constexpr Duration kReturnTime = std::chrono::milliseconds(6);
+// The request has come and the answer has to go to the caller.
+constexpr Duration kUnknownRoundTrip = std::chrono::milliseconds(5);
+// The answer has to be encoded by a small VM and read by the caller.
+constexpr Duration kAnswerWork = std::chrono::milliseconds(3);
 constexpr int kReturnTargetPart = 12;
 
 // The final answer leaves this long before the caller gives up.
@@ -36,6 +38,7 @@
 ForwardTimes TimesOf(const Route& route,
                      MonotonicTime now,
                      std::optional<Duration> time_left,
+                     std::optional<Duration> round_trip,
                      Duration longest_seen) {
   ForwardTimes times;
   times.began = now;
@@ -48,7 +51,9 @@
   times.limit = now + std::max(limit - kLimitMargin, limit / 2);
   const Duration target =
       route.target_latency > Duration::zero() ? route.target_latency : limit;
-  const Duration margin = std::max(kReturnTime, target / kReturnTargetPart);
+  const Duration margin =
+      std::max(round_trip.value_or(kUnknownRoundTrip) + kAnswerWork,
+               target / kReturnTargetPart);
   times.answer_by = std::min(
       now + std::max(target - margin - spent, Duration::zero()), times.limit);
   return times;
--- a/src/policy/forward_timing.h
+++ b/src/policy/forward_timing.h
@@ -20,11 +20,13 @@
 };
 
 // `time_left` is what the caller waits; nothing if it did not say.
+// `round_trip` is the time to the caller and back, if known.
 // `longest_seen` is the most that callers of this route had left, which a
 // caller's first attempt has.
 ForwardTimes TimesOf(const Route& route,
                      MonotonicTime now,
                      std::optional<Duration> time_left,
+                     std::optional<Duration> round_trip,
                      Duration longest_seen);
 
 struct ForwardTiming {
