Confirmed slowness counts more

Cause: an entry VM of a large fleet sends about one request a second to a server, so that a slow server kept its place for seconds while the retry budget for hedged sends was used up. Change: a slow attempt that no pause explains has a weight of 0.6.

--- a/src/policy/backend_directory.cc
+++ b/src/policy/backend_directory.cc
@@ -9,6 +9,9 @@
 
 // Weight of the newest latency.
 constexpr double kSlownessWeight = 0.25;
+// Weight of a slow attempt that no pause explains. An entry VM may send only
+// one request a second to a server.
+constexpr double kConfirmedWeight = 0.6;
 // Servers pause now and then. Slow attempts count as such only if they began
 // further apart than a pause lasts, without an ordinary one in between.
 constexpr double kSlowSample = 2.5;
@@ -376,6 +379,7 @@
                                    Duration elapsed,
                                    Duration expected) {
   double sample = Ratio(elapsed, expected);
+  double weight = kSlownessWeight;
   if (sample < kSlowSample) {
     server.slow_since.reset();
   } else {
@@ -383,11 +387,12 @@
     server.slow_since = std::min(server.slow_since.value_or(began), began);
     if (began - *server.slow_since < kLongestPause) {
       sample = kPausedSample;
+    } else {
+      weight = kConfirmedWeight;
     }
   }
   const double known = this->SlownessOf(now, server);
-  server.slowness =
-      known + kSlownessWeight * (std::min(sample, kMostSlowness) - known);
+  server.slowness = known + weight * (std::min(sample, kMostSlowness) - known);
   server.slowness_at = now;
 }
 
