--- a/src/core/settings.h
+++ b/src/core/settings.h
@@ -100,7 +100,7 @@
   // The text of `--help`.
   std::string Help() const;
 
-  // The settings as a Markdown table for docs/operations.md.
+  // The settings as a Markdown table for docs/OPERATIONS.md.
   std::string Markdown() const;
 
  private:
