--- a/tools/soak/list_follower.cc
+++ b/tools/soak/list_follower.cc
@@ -87,8 +87,11 @@
   }
 }
 
+// Another control VM than the present one, as the product's choice does.
 void ListFollower::ChangeSource() {
-  this->source = this->shared.random.Below(this->controls.size());
+  const std::uint64_t count = this->controls.size();
+  this->source =
+      (this->source + 1 + this->shared.random.Below(count - 1)) % count;
   this->last_beat = this->shared.events.now();
 }
 
--- a/tools/soak/operator_actor.cc
+++ b/tools/soak/operator_actor.cc
@@ -38,7 +38,7 @@
   if (this->shared.events.now() >= this->stop_at) {
     return;
   }
-  this->Submit(this->MakeEdit(), kMostResends);
+  this->Submit(this->MakeEdit(), kMostResends, false);
 }
 
 PutRows OperatorActor::MakeEdit() {
@@ -68,21 +68,25 @@
   return edit;
 }
 
-void OperatorActor::Submit(const PutRows& edit, int resends_left) {
+void OperatorActor::Submit(const PutRows& edit,
+                           int resends_left,
+                           bool in_doubt) {
   this->client.Submit(edit, kSubmitTimeout,
-                      [this, edit, resends_left](const SubmitResult& result) {
-                        this->OnResult(edit, resends_left, result);
+                      [this, edit, resends_left,
+                       in_doubt](const SubmitResult& result) {
+                        this->OnResult(edit, resends_left, in_doubt, result);
                       });
 }
 
 void OperatorActor::OnResult(const PutRows& edit,
                              int resends_left,
+                             bool in_doubt,
                              const SubmitResult& result) {
   if (const auto* execution = std::get_if<Execution>(&result)) {
-    if (*execution == Execution::kDidNotRun) {
+    if (*execution == Execution::kDidNotRun && !in_doubt) {
       this->shared.judge.OnEditRefused(edit.change);
     } else if (resends_left > 0) {
-      this->Submit(edit, resends_left - 1);
+      this->Submit(edit, resends_left - 1, true);
       return;
     }
   } else {
@@ -101,7 +105,7 @@
     }
     // As if the answer had been lost.
     if (resends_left > 0 && this->shared.random.Unit() < kResendAnyway) {
-      this->Submit(edit, resends_left - 1);
+      this->Submit(edit, resends_left - 1, in_doubt);
       return;
     }
   }
--- a/tools/soak/operator_actor.h
+++ b/tools/soak/operator_actor.h
@@ -27,9 +27,12 @@
 
  private:
   void Next();
-  void Submit(const PutRows& edit, int resends_left);
+  // `in_doubt` says that an earlier send of the edit may have run, which a
+  // refusal of a later one does not change.
+  void Submit(const PutRows& edit, int resends_left, bool in_doubt);
   void OnResult(const PutRows& edit,
                 int resends_left,
+                bool in_doubt,
                 const SubmitResult& result);
   PutRows MakeEdit();
 
