--- a/src/policy/retry_budget.h
+++ b/src/policy/retry_budget.h
@@ -77,7 +77,8 @@
 
   std::int64_t Step(const RetryBudgetSettings& settings,
                     MonotonicTime now) const {
-    return now.time_since_epoch() / (settings.window / kSlots);
+    return now.time_since_epoch() /
+           (settings.window / static_cast<std::int64_t>(kSlots));
   }
 
   std::size_t SlotOf(const RetryBudgetSettings& settings,
