Slow servers are told to all entry VMs

Change: entry VMs report slow servers to their control VM every 250 ms; control VMs collect and relay them to all.

--- a/src/net/control_client.cc
+++ b/src/net/control_client.cc
@@ -152,6 +152,20 @@
       });
 }
 
+void ControlClient::SendHints(ServerHints hints) {
+  this->impl->queue.Post([impl = this->impl, hints = std::move(hints)] {
+    if (impl->stream) {
+      impl->stream->Send(hints);
+    }
+  });
+}
+
+void ControlClient::OnHints(std::function<void(const ServerHints&)> on_hints) {
+  if (this->impl->stream) {
+    this->impl->stream->OnHints(std::move(on_hints));
+  }
+}
+
 bool ControlClient::is_synchronised() const {
   return this->impl->synchronised;
 }
--- a/src/net/control_client.h
+++ b/src/net/control_client.h
@@ -12,6 +12,7 @@
 #include "src/net/worker_pool.h"
 #include "src/tables/list_table.h"
 #include "src/tables/listing_table.h"
+#include "src/wire/control_messages.h"
 
 namespace marigold {
 
@@ -60,6 +61,14 @@
               Duration timeout,
               std::function<void(SubmitOutcome)> on_outcome);
 
+  // Tells the other entry VMs about slow servers, by way of the control VM that
+  // is followed; dropped without one.
+  void SendHints(ServerHints hints);
+
+  // `on_hints` takes what other entry VMs found, on any worker. To be set
+  // before `Start`.
+  void OnHints(std::function<void(const ServerHints&)> on_hints);
+
   // True once lists are in force here that are as new as any that the control
   // VMs and the other entry VMs knew of at the start. They come from a control
   // VM that hears from a quorum, or, if none is reached for a while, from
--- a/src/net/control_server.cc
+++ b/src/net/control_server.cc
@@ -35,12 +35,14 @@
                  std::shared_ptr<ControlDriver> control_driver,
                  std::shared_ptr<SubscriberHub> subscriber_hub,
                  const ControlTable& control_table,
-                 ListingTable& listing_table)
+                 ListingTable& listing_table,
+                 std::shared_ptr<HintRelay> hint_relay)
       : connection(framed),
         driver(std::move(control_driver)),
         hub(std::move(subscriber_hub)),
         table(control_table),
-        listing(listing_table) {}
+        listing(listing_table),
+        hints(std::move(hint_relay)) {}
 
   void Start(const std::shared_ptr<FramedConnection>& framed) {
     FramedHandlers handlers;
@@ -156,6 +158,8 @@
     this->listing.Confirm(confirmed.listing, this->clock.Now() - confirmed.age);
   }
 
+  void On(ServerHints& received) { this->hints->Take(received); }
+
   // Messages that only this side sends.
   template <class Message>
   void On(Message&) {
@@ -175,6 +179,7 @@
   const std::shared_ptr<SubscriberHub> hub;
   const ControlTable& table;
   ListingTable& listing;
+  const std::shared_ptr<HintRelay> hints;
   SystemClock clock;
   MonotonicTime answered_at;
 };
@@ -191,7 +196,8 @@
     std::shared_ptr<ControlDriver> driver,
     std::shared_ptr<SubscriberHub> hub,
     const ControlTable& table,
-    ListingTable& listing) {
+    ListingTable& listing,
+    std::shared_ptr<HintRelay> hints) {
   FramedLimits limits;
   limits.silence_timeout = kSilenceTimeout;
   auto impl = std::make_unique<Impl>();
@@ -199,10 +205,10 @@
       impl->server,
       FramedServer::Listen(
           pool, endpoint, limits, kMostConnections,
-          [driver, hub, &table,
-           &listing](const std::shared_ptr<FramedConnection>& connection) {
+          [driver, hub, &table, &listing, hints = std::move(hints)](
+              const std::shared_ptr<FramedConnection>& connection) {
             std::make_shared<ControlSession>(connection, driver, hub, table,
-                                             listing)
+                                             listing, hints)
                 ->Start(connection);
           }));
   return std::unique_ptr<ControlServer>(new ControlServer(std::move(impl)));
--- a/src/net/control_server.h
+++ b/src/net/control_server.h
@@ -6,6 +6,7 @@
 #include "src/core/result.h"
 #include "src/net/control_driver.h"
 #include "src/net/framed_server.h"
+#include "src/net/hint_relay.h"
 #include "src/net/subscriber_hub.h"
 #include "src/net/worker_pool.h"
 #include "src/tables/control_table.h"
@@ -25,7 +26,8 @@
       std::shared_ptr<ControlDriver> driver,
       std::shared_ptr<SubscriberHub> hub,
       const ControlTable& table,
-      ListingTable& listing);
+      ListingTable& listing,
+      std::shared_ptr<HintRelay> hints);
   ~ControlServer();
 
   ControlServer(const ControlServer&) = delete;
--- a/src/net/list_stream.cc
+++ b/src/net/list_stream.cc
@@ -105,6 +105,8 @@
     this->OnHeartbeat(*heartbeat);
   } else if (auto* listed = std::get_if<ListingUpdate>(message)) {
     this->OnListing(std::move(*listed));
+  } else if (const auto* hints = std::get_if<ServerHints>(message)) {
+    this->on_hints(*hints);
   }
 }
 
@@ -124,6 +126,16 @@
   this->on_progress();
 }
 
+void ListStream::Send(const ControlMessage& message) {
+  if (this->connection) {
+    this->connection->Send(EncodeControlMessage(message));
+  }
+}
+
+void ListStream::OnHints(std::function<void(const ServerHints&)> handler) {
+  this->on_hints = std::move(handler);
+}
+
 void ListStream::OnListing(ListingUpdate update) {
   this->listing.Take(std::move(update.servers), this->clock.Now() - update.age);
   this->on_progress();
--- a/src/net/list_stream.h
+++ b/src/net/list_stream.h
@@ -34,6 +34,10 @@
 
   void Start();
   void Stop();
+  // Dropped while there is no stream.
+  void Send(const ControlMessage& message);
+  // To be set before `Start`.
+  void OnHints(std::function<void(const ServerHints&)> on_hints);
 
   // Queries.
 
@@ -61,6 +65,7 @@
   ListingTable& listing;
   const ControlClientSettings& settings;
   std::function<void()> on_progress;
+  std::function<void(const ServerHints&)> on_hints = [](const ServerHints&) {};
   SystemClock clock;
   ControlChoice choice;
   Endpoint current;
--- a/src/net/subscriber_hub.cc
+++ b/src/net/subscriber_hub.cc
@@ -205,7 +205,10 @@
   }
 
   void SendHeartbeat() {
-    const std::string body = EncodeControlMessage(this->MakeHeartbeat());
+    this->SendToAll(EncodeControlMessage(this->MakeHeartbeat()));
+  }
+
+  void SendToAll(const std::string& body) {
     std::vector<std::shared_ptr<FramedConnection>> connections;
     {
       const RankedLock lock(this->mutex);
@@ -308,6 +311,10 @@
   this->impl->PushListing();
 }
 
+void SubscriberHub::SendToAll(const ControlMessage& message) {
+  this->impl->SendToAll(EncodeControlMessage(message));
+}
+
 void SubscriberHub::NotifyListsChanged() {
   this->impl->SchedulePush(kPushInterval);
 }
--- a/src/net/subscriber_hub.h
+++ b/src/net/subscriber_hub.h
@@ -42,6 +42,8 @@
   void NotifyListsChanged();
   // The listing's rows have changed.
   void NotifyListingChanged();
+  // Sends a message to all entry VMs that follow this control VM.
+  void SendToAll(const ControlMessage& message);
 
   // Queries.
 
--- a/src/policy/backend_directory.cc
+++ b/src/policy/backend_directory.cc
@@ -12,6 +12,8 @@
 // Weight of a slow attempt that no pause explains. An entry VM may send only
 // one request a second to a server.
 constexpr double kConfirmedWeight = 0.6;
+// Usable servers for each that is reported as slow.
+constexpr std::size_t kLeastUsablePerHint = 2;
 // Servers pause now and then. Slow attempts count as such only if they began
 // further apart than a pause lasts, without an ordinary one in between.
 constexpr double kSlowSample = 2.5;
@@ -135,6 +137,40 @@
   return position->second;
 }
 
+std::vector<ServerHint> BackendDirectory::TakeHints() {
+  std::vector<ServerHint> hints;
+  std::size_t usable = 0;
+  for (Server& server : this->servers) {
+    usable += server.is_usable ? 1 : 0;
+    if (std::exchange(server.is_hint_due, false) && server.is_usable) {
+      hints.push_back({server.listed.server, server.listed.started_at_ms,
+                       static_cast<std::uint32_t>(server.slowness * 100)});
+    }
+  }
+  if (hints.size() * kLeastUsablePerHint > usable) {
+    hints.clear();
+  }
+  return hints;
+}
+
+void BackendDirectory::ApplyHints(MonotonicTime now,
+                                  std::span<const ServerHint> hints) {
+  for (const ServerHint& hint : hints) {
+    const auto found =
+        this->index_by_key.find(ServerKey{hint.server, hint.started_at_ms});
+    if (found == this->index_by_key.end()) {
+      continue;
+    }
+    Server& server = this->At(found->second);
+    const double hinted = std::min(
+        static_cast<double>(hint.slowness_percent) / 100, kMostSlowness);
+    if (hinted > this->SlownessOf(now, server)) {
+      server.slowness = hinted;
+      server.slowness_at = now;
+    }
+  }
+}
+
 void BackendDirectory::OnRequest(MonotonicTime now, const ServiceId& service) {
   this->services[service].retries.OnRequest(this->settings.retries, now);
 }
@@ -389,6 +425,7 @@
       sample = kPausedSample;
     } else {
       weight = kConfirmedWeight;
+      server.is_hint_due = true;
     }
   }
   const double known = this->SlownessOf(now, server);
--- a/src/policy/backend_directory.h
+++ b/src/policy/backend_directory.h
@@ -16,6 +16,7 @@
 #include "src/policy/replica_choice.h"
 #include "src/policy/retry_budget.h"
 #include "src/policy/search_types.h"
+#include "src/policy/server_hint.h"
 #include "src/policy/server_view.h"
 
 namespace marigold {
@@ -77,6 +78,13 @@
 
   void SetShare(Fraction entry_share) { this->share = entry_share; }
 
+  // The servers that were found slow since the last call. Nothing if that is
+  // true of many: then this VM is slow itself.
+  std::vector<ServerHint> TakeHints();
+
+  // Takes what other entry VMs found.
+  void ApplyHints(MonotonicTime now, std::span<const ServerHint> hints);
+
   // Counts a request for a service.
   void OnRequest(MonotonicTime now, const ServiceId& service);
 
@@ -147,6 +155,8 @@
     MonotonicTime slowness_at;
     // When the first slow attempt after the last ordinary one began.
     std::optional<MonotonicTime> slow_since;
+    // Slow, as no pause explains, since hints were taken last.
+    bool is_hint_due = false;
     // Share of the recent attempts that failed.
     double failing = 0;
     MonotonicTime failing_at;
--- a/src/programs/control_process.cc
+++ b/src/programs/control_process.cc
@@ -35,10 +35,10 @@
       this->driver,
       ControlDriver::Open(this->pool, this->table, this->settings.driver,
                           [hub = this->hub] { hub->NotifyListsChanged(); }));
-  BOOST_LEAF_ASSIGN(this->server,
-                    ControlServer::Listen(
-                        this->pool, this->settings.driver.address, this->driver,
-                        this->hub, this->table, this->listing));
+  BOOST_LEAF_ASSIGN(this->server, ControlServer::Listen(
+                                      this->pool, this->settings.driver.address,
+                                      this->driver, this->hub, this->table,
+                                      this->listing, this->MakeHintRelay()));
   BOOST_LEAF_ASSIGN(
       this->http,
       HttpServer::Listen(this->pool, this->settings.http,
@@ -46,6 +46,17 @@
   return {};
 }
 
+std::shared_ptr<HintRelay> ControlProcess::MakeHintRelay() {
+  return std::make_shared<HintRelay>(
+      this->pool,
+      [hub = this->hub](const ServerHints& hints) { hub->SendToAll(hints); },
+      [weak = std::weak_ptr(this->driver)](const ServerHints& hints) {
+        if (const auto control = weak.lock()) {
+          control->Broadcast(hints);
+        }
+      });
+}
+
 int ControlProcess::Serve() {
   this->driver->OnStorageUsable([this] {
     LogEvent(LogLevel::kWarning, "restart_wanted",
--- a/src/programs/control_process.h
+++ b/src/programs/control_process.h
@@ -8,6 +8,7 @@
 #include "src/core/result.h"
 #include "src/net/control_driver.h"
 #include "src/net/control_server.h"
+#include "src/net/hint_relay.h"
 #include "src/net/http_server.h"
 #include "src/net/subscriber_hub.h"
 #include "src/net/worker_pool.h"
@@ -49,6 +50,8 @@
   ControlDriver& control_driver() { return *this->driver; }
 
  private:
+  std::shared_ptr<HintRelay> MakeHintRelay();
+
   ControlProcessSettings settings;
   // The tables outlive the pool, whose threads may still use them.
   ControlTable table;
--- a/src/programs/forward_process.h
+++ b/src/programs/forward_process.h
@@ -70,7 +70,7 @@
   static constexpr Duration kRotationTime = std::chrono::milliseconds(2800);
   // Before the process is ended by force.
   static constexpr Duration kStopMargin = std::chrono::milliseconds(400);
-  static constexpr Duration kTickInterval = std::chrono::milliseconds(500);
+  static constexpr Duration kTickInterval = std::chrono::milliseconds(250);
   static constexpr std::uint64_t kMostReadDelayMs = 600;
   static constexpr int kStatusUnavailable = 503;
   static constexpr int kStatusNotFound = 404;
@@ -119,6 +119,12 @@
                                                 const HttpResponder& respond) {
                                            respond(this->AnswerAdmin(request));
                                          }));
+    this->control.OnHints([this](const ServerHints& received) {
+      const MonotonicTime now = this->clock.Now();
+      this->backends.Access([&](BackendDirectory& directory) {
+        directory.ApplyHints(now, received.hints);
+      });
+    });
     BOOST_LEAF_CHECK(this->control.Start());
     this->StartPolling();
     this->ArmTick();
@@ -174,15 +180,20 @@
     });
   }
 
-  // Passes this entry VM's part of the retry budgets on, and probes data
-  // centres that are cut off.
+  // Passes this entry VM's part of the retry budgets and its slow servers on,
+  // and probes data centres that are cut off.
   void Tick() {
     const Fraction share = this->listing.share();
     const MonotonicTime now = this->clock.Now();
+    ServerHints found;
     const auto probes = this->backends.Access([&](BackendDirectory& directory) {
       directory.SetShare(share);
+      found.hints = directory.TakeHints();
       return directory.ProbeTargets(now);
     });
+    if (!found.hints.empty()) {
+      this->control.SendHints(std::move(found));
+    }
     const auto& [lane, forwarder] = this->forwarders.front();
     for (const ServerIndex server : probes) {
       lane->Post([forwarder = forwarder, server] { forwarder->Probe(server); });
--- a/src/wire/control_messages.h
+++ b/src/wire/control_messages.h
@@ -13,6 +13,7 @@
 #include "src/core/settings_values.h"
 #include "src/core/verdict.h"
 #include "src/policy/listing.h"
+#include "src/policy/server_hint.h"
 #include "src/replication/messages.h"
 #include "src/tables/control_state.h"
 #include "src/tables/control_status.h"
@@ -128,6 +129,20 @@
   }
 };
 
+// From an entry VM to its control VM, and from there to all control VMs and
+// their entry VMs.
+struct ServerHints {
+  std::vector<ServerHint> hints;
+  // A control VM has sent it, which other control VMs do not pass on to each
+  // other.
+  bool is_relayed = false;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->hints, this->is_relayed);
+  }
+};
+
 // From a leader to the control VMs: the list that they hold is still right.
 struct ListingConfirmed {
   ListingHash listing;
@@ -274,7 +289,8 @@
                                     ChangeMembers,
                                     ChangeMembersReply,
                                     ListingUpdate,
-                                    ListingConfirmed>;
+                                    ListingConfirmed,
+                                    ServerHints>;
 
 std::string EncodeControlMessage(const ControlMessage& message);
 
--- a/tests/backend_directory_test.cc
+++ b/tests/backend_directory_test.cc
@@ -182,4 +182,41 @@
   }
 }
 
+// Guards against entry VMs that each have to find a slow server by themselves,
+// and against a hint about an earlier start of the server.
+Test(BackendDirectory, HintOfAnotherEntryVmCountsForOneStart) {
+  Fixture reporter;
+  for (int i = 0; i < 2; ++i) {
+    reporter.Place({ServerIndex(2), ServerIndex(3)});
+    reporter.now += milliseconds(300);
+    reporter.directory.OnAnswer(reporter.now, ServerIndex(1), milliseconds(200),
+                                milliseconds(10), std::nullopt);
+  }
+  const std::vector<ServerHint> hints = reporter.directory.TakeHints();
+  cr_assert_eq(hints.size(), 1U, "expected 1, actual %zu", hints.size());
+  cr_assert(reporter.directory.TakeHints().empty(), "a hint is given once");
+  Fixture reader;
+  reader.directory.ApplyHints(reader.now, hints);
+  cr_assert_neq(reader.NameOf(reader.Place()), std::string("a"));
+  Fixture restarted;
+  restarted.rows[0].started_at_ms = 1;
+  restarted.directory.Apply(restarted.now, restarted.rows);
+  restarted.directory.ApplyHints(restarted.now, hints);
+  cr_assert_eq(restarted.NameOf(restarted.Place()), std::string("a"));
+}
+
+// Guards against an entry VM that is slow itself and blames all servers.
+Test(BackendDirectory, SlowEntryVmReportsNothing) {
+  Fixture fixture;
+  for (int i = 0; i < 2; ++i) {
+    fixture.now += milliseconds(300);
+    for (std::uint64_t server = 1; server <= 3; ++server) {
+      fixture.directory.OnAnswer(fixture.now, ServerIndex(server),
+                                 milliseconds(200), milliseconds(10),
+                                 std::nullopt);
+    }
+  }
+  cr_assert(fixture.directory.TakeHints().empty());
+}
+
 }  // namespace marigold
