--- a/src/ctl/control_group.h
+++ b/src/ctl/control_group.h
@@ -12,7 +12,7 @@
 #include "src/core/settings_values.h"
 #include "src/core/verdict.h"
 #include "src/ctl/exit_code.h"
-#include "src/net/framed_call.h"
+#include "src/net/control/framed_call.h"
 #include "src/net/worker_pool.h"
 #include "src/wire/control_messages.h"
 
--- a/src/net/backend_client.cc
+++ b/src/net/backends/backend_client.cc
@@ -1,8 +1,8 @@
-#include "src/net/backend_client.h"
+#include "src/net/backends/backend_client.h"
 
 #include <utility>
 
-#include "src/net/backend_client_impl.h"
+#include "src/net/backends/backend_client_impl.h"
 #include "src/wire/backend_json.h"
 
 namespace marigold {
--- a/src/net/backend_client.h
+++ b/src/net/backends/backend_client.h
@@ -1,5 +1,5 @@
-#ifndef SRC_NET_BACKEND_CLIENT_H_
-#define SRC_NET_BACKEND_CLIENT_H_
+#ifndef SRC_NET_BACKENDS_BACKEND_CLIENT_H_
+#define SRC_NET_BACKENDS_BACKEND_CLIENT_H_
 
 #include <functional>
 #include <memory>
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "src/net/backend_pool.h"
+#include "src/net/backends/backend_pool.h"
 #include "src/net/worker_pool.h"
 #include "src/policy/backend_messages.h"
 #include "src/tables/entry_metrics.h"
@@ -95,4 +95,4 @@
 
 }  // namespace marigold
 
-#endif  // SRC_NET_BACKEND_CLIENT_H_
+#endif  // SRC_NET_BACKENDS_BACKEND_CLIENT_H_
--- a/src/net/backend_client_impl.cc
+++ b/src/net/backends/backend_client_impl.cc
@@ -1,4 +1,4 @@
-#include "src/net/backend_client_impl.h"
+#include "src/net/backends/backend_client_impl.h"
 
 #include <algorithm>
 
--- a/src/net/backend_client_impl.h
+++ b/src/net/backends/backend_client_impl.h
@@ -1,5 +1,5 @@
-#ifndef SRC_NET_BACKEND_CLIENT_IMPL_H_
-#define SRC_NET_BACKEND_CLIENT_IMPL_H_
+#ifndef SRC_NET_BACKENDS_BACKEND_CLIENT_IMPL_H_
+#define SRC_NET_BACKENDS_BACKEND_CLIENT_IMPL_H_
 
 #include <atomic>
 #include <functional>
@@ -11,8 +11,8 @@
 #include "src/core/clock.h"
 #include "src/core/invariant.h"
 #include "src/core/ranked_mutex.h"
-#include "src/net/backend_client.h"
-#include "src/net/backend_replies.h"
+#include "src/net/backends/backend_client.h"
+#include "src/net/backends/backend_replies.h"
 
 namespace marigold {
 
@@ -133,4 +133,4 @@
 
 }  // namespace marigold
 
-#endif  // SRC_NET_BACKEND_CLIENT_IMPL_H_
+#endif  // SRC_NET_BACKENDS_BACKEND_CLIENT_IMPL_H_
--- a/src/net/backend_pool.cc
+++ b/src/net/backends/backend_pool.cc
@@ -1,4 +1,4 @@
-#include "src/net/backend_pool.h"
+#include "src/net/backends/backend_pool.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/net/backend_pool.h
+++ b/src/net/backends/backend_pool.h
@@ -1,5 +1,5 @@
-#ifndef SRC_NET_BACKEND_POOL_H_
-#define SRC_NET_BACKEND_POOL_H_
+#ifndef SRC_NET_BACKENDS_BACKEND_POOL_H_
+#define SRC_NET_BACKENDS_BACKEND_POOL_H_
 
 #include <functional>
 #include <map>
@@ -13,7 +13,7 @@
 #include "src/core/clock.h"
 #include "src/core/ids.h"
 #include "src/core/ranked_mutex.h"
-#include "src/net/http_client.h"
+#include "src/net/http/http_client.h"
 #include "src/net/worker_pool.h"
 #include "src/policy/connection_pool.h"
 #include "src/policy/search_types.h"
@@ -149,4 +149,4 @@
 
 }  // namespace marigold
 
-#endif  // SRC_NET_BACKEND_POOL_H_
+#endif  // SRC_NET_BACKENDS_BACKEND_POOL_H_
--- a/src/net/backend_pool_steps.cc
+++ b/src/net/backends/backend_pool_steps.cc
@@ -1,7 +1,7 @@
 #include <optional>
 #include <utility>
 
-#include "src/net/backend_pool.h"
+#include "src/net/backends/backend_pool.h"
 #include "src/wire/backend_json.h"
 
 namespace marigold {
--- a/src/net/backend_replies.cc
+++ b/src/net/backends/backend_replies.cc
@@ -1,4 +1,4 @@
-#include "src/net/backend_replies.h"
+#include "src/net/backends/backend_replies.h"
 
 #include <utility>
 #include <variant>
--- a/src/net/backend_replies.h
+++ b/src/net/backends/backend_replies.h
@@ -1,9 +1,9 @@
-#ifndef SRC_NET_BACKEND_REPLIES_H_
-#define SRC_NET_BACKEND_REPLIES_H_
+#ifndef SRC_NET_BACKENDS_BACKEND_REPLIES_H_
+#define SRC_NET_BACKENDS_BACKEND_REPLIES_H_
 
 #include <optional>
 
-#include "src/net/http_message.h"
+#include "src/net/http/http_message.h"
 #include "src/policy/backend_messages.h"
 
 namespace marigold {
@@ -34,4 +34,4 @@
 
 }  // namespace marigold
 
-#endif  // SRC_NET_BACKEND_REPLIES_H_
+#endif  // SRC_NET_BACKENDS_BACKEND_REPLIES_H_
--- a/src/net/caller_api.cc
+++ b/src/net/callers/caller_api.cc
@@ -1,4 +1,4 @@
-#include "src/net/caller_api.h"
+#include "src/net/callers/caller_api.h"
 
 #include <fmt/format.h>
 
--- a/src/net/caller_api.h
+++ b/src/net/callers/caller_api.h
@@ -1,9 +1,9 @@
-#ifndef SRC_NET_CALLER_API_H_
-#define SRC_NET_CALLER_API_H_
+#ifndef SRC_NET_CALLERS_CALLER_API_H_
+#define SRC_NET_CALLERS_CALLER_API_H_
 
-#include "src/net/caller_requests.h"
-#include "src/net/entry_parts.h"
-#include "src/net/http_server.h"
+#include "src/net/callers/caller_requests.h"
+#include "src/net/callers/entry_parts.h"
+#include "src/net/http/http_server.h"
 
 namespace marigold {
 
@@ -36,4 +36,4 @@
 
 }  // namespace marigold
 
-#endif  // SRC_NET_CALLER_API_H_
+#endif  // SRC_NET_CALLERS_CALLER_API_H_
--- a/src/net/caller_requests.cc
+++ b/src/net/callers/caller_requests.cc
@@ -1,4 +1,4 @@
-#include "src/net/caller_requests.h"
+#include "src/net/callers/caller_requests.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/net/caller_requests.h
+++ b/src/net/callers/caller_requests.h
@@ -1,11 +1,11 @@
-#ifndef SRC_NET_CALLER_REQUESTS_H_
-#define SRC_NET_CALLER_REQUESTS_H_
+#ifndef SRC_NET_CALLERS_CALLER_REQUESTS_H_
+#define SRC_NET_CALLERS_CALLER_REQUESTS_H_
 
 #include <atomic>
 #include <memory>
 
-#include "src/net/entry_parts.h"
-#include "src/net/http_server.h"
+#include "src/net/callers/entry_parts.h"
+#include "src/net/http/http_server.h"
 #include "src/policy/action_types.h"
 #include "src/policy/search_types.h"
 
@@ -79,4 +79,4 @@
 
 }  // namespace marigold
 
-#endif  // SRC_NET_CALLER_REQUESTS_H_
+#endif  // SRC_NET_CALLERS_CALLER_REQUESTS_H_
--- a/src/net/entry_parts.h
+++ b/src/net/callers/entry_parts.h
@@ -1,5 +1,5 @@
-#ifndef SRC_NET_ENTRY_PARTS_H_
-#define SRC_NET_ENTRY_PARTS_H_
+#ifndef SRC_NET_CALLERS_ENTRY_PARTS_H_
+#define SRC_NET_CALLERS_ENTRY_PARTS_H_
 
 #include <cstdint>
 #include <functional>
@@ -9,7 +9,7 @@
 #include "src/commands/ledger_link.h"
 #include "src/commands/run_action.h"
 #include "src/core/clock.h"
-#include "src/net/backend_client.h"
+#include "src/net/backends/backend_client.h"
 #include "src/policy/admission.h"
 #include "src/tables/entry_metrics.h"
 #include "src/tables/lifecycle.h"
@@ -52,4 +52,4 @@
 
 }  // namespace marigold
 
-#endif  // SRC_NET_ENTRY_PARTS_H_
+#endif  // SRC_NET_CALLERS_ENTRY_PARTS_H_
--- a/src/net/command_sender.cc
+++ b/src/net/control/command_sender.cc
@@ -1,4 +1,4 @@
-#include "src/net/command_sender.h"
+#include "src/net/control/command_sender.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/net/command_sender.h
+++ b/src/net/control/command_sender.h
@@ -1,5 +1,5 @@
-#ifndef SRC_NET_COMMAND_SENDER_H_
-#define SRC_NET_COMMAND_SENDER_H_
+#ifndef SRC_NET_CONTROL_COMMAND_SENDER_H_
+#define SRC_NET_CONTROL_COMMAND_SENDER_H_
 
 #include <functional>
 #include <map>
@@ -10,8 +10,8 @@
 #include <vector>
 
 #include "src/core/clock.h"
-#include "src/net/control_client.h"
-#include "src/net/framed_connection.h"
+#include "src/net/control/control_client.h"
+#include "src/net/control/framed_connection.h"
 #include "src/net/serial_queue.h"
 #include "src/policy/control_choice.h"
 #include "src/wire/control_messages.h"
@@ -95,4 +95,4 @@
 
 }  // namespace marigold
 
-#endif  // SRC_NET_COMMAND_SENDER_H_
+#endif  // SRC_NET_CONTROL_COMMAND_SENDER_H_
--- a/src/net/control_client.cc
+++ b/src/net/control/control_client.cc
@@ -1,13 +1,13 @@
-#include "src/net/control_client.h"
+#include "src/net/control/control_client.h"
 
 #include <atomic>
 #include <utility>
 
 #include "src/core/clock.h"
 #include "src/core/log.h"
-#include "src/net/command_sender.h"
-#include "src/net/list_sharing.h"
-#include "src/net/list_stream.h"
+#include "src/net/control/command_sender.h"
+#include "src/net/control/list_sharing.h"
+#include "src/net/control/list_stream.h"
 #include "src/net/serial_queue.h"
 
 namespace marigold {
--- a/src/net/control_client.h
+++ b/src/net/control/control_client.h
@@ -1,5 +1,5 @@
-#ifndef SRC_NET_CONTROL_CLIENT_H_
-#define SRC_NET_CONTROL_CLIENT_H_
+#ifndef SRC_NET_CONTROL_CONTROL_CLIENT_H_
+#define SRC_NET_CONTROL_CONTROL_CLIENT_H_
 
 #include <functional>
 #include <memory>
@@ -83,4 +83,4 @@
 
 }  // namespace marigold
 
-#endif  // SRC_NET_CONTROL_CLIENT_H_
+#endif  // SRC_NET_CONTROL_CONTROL_CLIENT_H_
--- a/src/net/control_driver.cc
+++ b/src/net/control/control_driver.cc
@@ -1,11 +1,11 @@
-#include "src/net/control_driver.h"
+#include "src/net/control/control_driver.h"
 
 #include <algorithm>
 #include <utility>
 
 #include "src/commands/check_command.h"
 #include "src/core/log.h"
-#include "src/net/detail/control_driver_impl.h"
+#include "src/net/control/detail/control_driver_impl.h"
 
 namespace marigold {
 
--- a/src/net/control_driver.h
+++ b/src/net/control/control_driver.h
@@ -1,5 +1,5 @@
-#ifndef SRC_NET_CONTROL_DRIVER_H_
-#define SRC_NET_CONTROL_DRIVER_H_
+#ifndef SRC_NET_CONTROL_CONTROL_DRIVER_H_
+#define SRC_NET_CONTROL_CONTROL_DRIVER_H_
 
 #include <atomic>
 #include <cstdint>
@@ -13,7 +13,7 @@
 #include "src/commands/control_commands.h"
 #include "src/core/result.h"
 #include "src/core/settings_values.h"
-#include "src/net/counted_storage.h"
+#include "src/net/control/counted_storage.h"
 #include "src/net/worker_pool.h"
 #include "src/replication/replica_types.h"
 #include "src/tables/control_table.h"
@@ -125,4 +125,4 @@
 
 }  // namespace marigold
 
-#endif  // SRC_NET_CONTROL_DRIVER_H_
+#endif  // SRC_NET_CONTROL_CONTROL_DRIVER_H_
--- a/src/net/control_driver_inputs.cc
+++ b/src/net/control/control_driver_inputs.cc
@@ -2,7 +2,7 @@
 #include <utility>
 
 #include "src/core/log.h"
-#include "src/net/detail/control_driver_impl.h"
+#include "src/net/control/detail/control_driver_impl.h"
 
 namespace marigold {
 
--- a/src/net/control_http.cc
+++ b/src/net/control/control_http.cc
@@ -1,4 +1,4 @@
-#include "src/net/control_http.h"
+#include "src/net/control/control_http.h"
 
 #include <fmt/format.h>
 
--- a/src/net/control_http.h
+++ b/src/net/control/control_http.h
@@ -1,11 +1,11 @@
-#ifndef SRC_NET_CONTROL_HTTP_H_
-#define SRC_NET_CONTROL_HTTP_H_
+#ifndef SRC_NET_CONTROL_CONTROL_HTTP_H_
+#define SRC_NET_CONTROL_CONTROL_HTTP_H_
 
 #include <string>
 
-#include "src/net/control_driver.h"
-#include "src/net/http_message.h"
-#include "src/net/subscriber_hub.h"
+#include "src/net/control/control_driver.h"
+#include "src/net/control/subscriber_hub.h"
+#include "src/net/http/http_message.h"
 #include "src/tables/control_table.h"
 
 namespace marigold {
@@ -22,4 +22,4 @@
 
 }  // namespace marigold
 
-#endif  // SRC_NET_CONTROL_HTTP_H_
+#endif  // SRC_NET_CONTROL_CONTROL_HTTP_H_
--- a/src/net/control_metrics.cc
+++ b/src/net/control/control_metrics.cc
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "src/core/invariant.h"
-#include "src/net/control_http.h"
+#include "src/net/control/control_http.h"
 
 namespace marigold {
 
--- a/src/net/control_server.cc
+++ b/src/net/control/control_server.cc
@@ -1,4 +1,4 @@
-#include "src/net/control_server.h"
+#include "src/net/control/control_server.h"
 
 #include <string>
 #include <utility>
--- a/src/net/control_server.h
+++ b/src/net/control/control_server.h
@@ -1,13 +1,13 @@
-#ifndef SRC_NET_CONTROL_SERVER_H_
-#define SRC_NET_CONTROL_SERVER_H_
+#ifndef SRC_NET_CONTROL_CONTROL_SERVER_H_
+#define SRC_NET_CONTROL_CONTROL_SERVER_H_
 
 #include <memory>
 
 #include "src/core/result.h"
-#include "src/net/control_driver.h"
-#include "src/net/framed_server.h"
-#include "src/net/hint_relay.h"
-#include "src/net/subscriber_hub.h"
+#include "src/net/control/control_driver.h"
+#include "src/net/control/framed_server.h"
+#include "src/net/control/hint_relay.h"
+#include "src/net/control/subscriber_hub.h"
 #include "src/net/worker_pool.h"
 #include "src/tables/control_table.h"
 
@@ -43,4 +43,4 @@
 
 }  // namespace marigold
 
-#endif  // SRC_NET_CONTROL_SERVER_H_
+#endif  // SRC_NET_CONTROL_CONTROL_SERVER_H_
--- a/src/net/counted_storage.h
+++ b/src/net/control/counted_storage.h
@@ -1,5 +1,5 @@
-#ifndef SRC_NET_COUNTED_STORAGE_H_
-#define SRC_NET_COUNTED_STORAGE_H_
+#ifndef SRC_NET_CONTROL_COUNTED_STORAGE_H_
+#define SRC_NET_CONTROL_COUNTED_STORAGE_H_
 
 #include <atomic>
 #include <cstdint>
@@ -83,4 +83,4 @@
 
 }  // namespace marigold
 
-#endif  // SRC_NET_COUNTED_STORAGE_H_
+#endif  // SRC_NET_CONTROL_COUNTED_STORAGE_H_
--- a/src/net/detail/control_driver_impl.h
+++ b/src/net/control/detail/control_driver_impl.h
@@ -1,5 +1,5 @@
-#ifndef SRC_NET_DETAIL_CONTROL_DRIVER_IMPL_H_
-#define SRC_NET_DETAIL_CONTROL_DRIVER_IMPL_H_
+#ifndef SRC_NET_CONTROL_DETAIL_CONTROL_DRIVER_IMPL_H_
+#define SRC_NET_CONTROL_DETAIL_CONTROL_DRIVER_IMPL_H_
 
 #include <oneapi/tbb/concurrent_queue.h>
 
@@ -14,9 +14,9 @@
 #include "src/core/clock.h"
 #include "src/core/random.h"
 #include "src/core/ranked_mutex.h"
-#include "src/net/control_driver.h"
-#include "src/net/peer_links.h"
-#include "src/net/pending_entries.h"
+#include "src/net/control/control_driver.h"
+#include "src/net/control/peer_links.h"
+#include "src/net/control/pending_entries.h"
 #include "src/replication/file_storage.h"
 #include "src/replication/group_formation.h"
 #include "src/replication/replica.h"
@@ -176,4 +176,4 @@
 
 }  // namespace marigold
 
-#endif  // SRC_NET_DETAIL_CONTROL_DRIVER_IMPL_H_
+#endif  // SRC_NET_CONTROL_DETAIL_CONTROL_DRIVER_IMPL_H_
--- a/src/net/framed_call.cc
+++ b/src/net/control/framed_call.cc
@@ -1,11 +1,11 @@
-#include "src/net/framed_call.h"
+#include "src/net/control/framed_call.h"
 
 #include <memory>
 #include <string>
 #include <utility>
 #include <variant>
 
-#include "src/net/framed_connection.h"
+#include "src/net/control/framed_connection.h"
 
 namespace marigold {
 
--- a/src/net/framed_call.h
+++ b/src/net/control/framed_call.h
@@ -1,5 +1,5 @@
-#ifndef SRC_NET_FRAMED_CALL_H_
-#define SRC_NET_FRAMED_CALL_H_
+#ifndef SRC_NET_CONTROL_FRAMED_CALL_H_
+#define SRC_NET_CONTROL_FRAMED_CALL_H_
 
 #include <functional>
 #include <optional>
@@ -31,4 +31,4 @@
 
 }  // namespace marigold
 
-#endif  // SRC_NET_FRAMED_CALL_H_
+#endif  // SRC_NET_CONTROL_FRAMED_CALL_H_
--- a/src/net/framed_connection.cc
+++ b/src/net/control/framed_connection.cc
@@ -1,4 +1,4 @@
-#include "src/net/framed_connection.h"
+#include "src/net/control/framed_connection.h"
 
 #include <algorithm>
 #include <boost/asio/bind_executor.hpp>
--- a/src/net/framed_connection.h
+++ b/src/net/control/framed_connection.h
@@ -1,5 +1,5 @@
-#ifndef SRC_NET_FRAMED_CONNECTION_H_
-#define SRC_NET_FRAMED_CONNECTION_H_
+#ifndef SRC_NET_CONTROL_FRAMED_CONNECTION_H_
+#define SRC_NET_CONTROL_FRAMED_CONNECTION_H_
 
 #include <atomic>
 #include <boost/asio/ip/tcp.hpp>
@@ -129,4 +129,4 @@
 
 }  // namespace marigold
 
-#endif  // SRC_NET_FRAMED_CONNECTION_H_
+#endif  // SRC_NET_CONTROL_FRAMED_CONNECTION_H_
--- a/src/net/framed_server.cc
+++ b/src/net/control/framed_server.cc
@@ -1,4 +1,4 @@
-#include "src/net/framed_server.h"
+#include "src/net/control/framed_server.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/strand.hpp>
--- a/src/net/framed_server.h
+++ b/src/net/control/framed_server.h
@@ -1,5 +1,5 @@
-#ifndef SRC_NET_FRAMED_SERVER_H_
-#define SRC_NET_FRAMED_SERVER_H_
+#ifndef SRC_NET_CONTROL_FRAMED_SERVER_H_
+#define SRC_NET_CONTROL_FRAMED_SERVER_H_
 
 #include <cstddef>
 #include <functional>
@@ -7,7 +7,7 @@
 
 #include "src/core/result.h"
 #include "src/core/settings_values.h"
-#include "src/net/framed_connection.h"
+#include "src/net/control/framed_connection.h"
 #include "src/net/worker_pool.h"
 
 namespace marigold {
@@ -43,4 +43,4 @@
 
 }  // namespace marigold
 
-#endif  // SRC_NET_FRAMED_SERVER_H_
+#endif  // SRC_NET_CONTROL_FRAMED_SERVER_H_
--- a/src/net/hint_relay.cc
+++ b/src/net/control/hint_relay.cc
@@ -1,4 +1,4 @@
-#include "src/net/hint_relay.h"
+#include "src/net/control/hint_relay.h"
 
 #include <algorithm>
 #include <map>
--- a/src/net/hint_relay.h
+++ b/src/net/control/hint_relay.h
@@ -1,5 +1,5 @@
-#ifndef SRC_NET_HINT_RELAY_H_
-#define SRC_NET_HINT_RELAY_H_
+#ifndef SRC_NET_CONTROL_HINT_RELAY_H_
+#define SRC_NET_CONTROL_HINT_RELAY_H_
 
 #include <functional>
 #include <memory>
@@ -34,4 +34,4 @@
 
 }  // namespace marigold
 
-#endif  // SRC_NET_HINT_RELAY_H_
+#endif  // SRC_NET_CONTROL_HINT_RELAY_H_
--- a/src/net/list_sharing.cc
+++ b/src/net/control/list_sharing.cc
@@ -1,4 +1,4 @@
-#include "src/net/list_sharing.h"
+#include "src/net/control/list_sharing.h"
 
 #include <algorithm>
 #include <optional>
--- a/src/net/list_sharing.h
+++ b/src/net/control/list_sharing.h
@@ -1,5 +1,5 @@
-#ifndef SRC_NET_LIST_SHARING_H_
-#define SRC_NET_LIST_SHARING_H_
+#ifndef SRC_NET_CONTROL_LIST_SHARING_H_
+#define SRC_NET_CONTROL_LIST_SHARING_H_
 
 #include <functional>
 #include <memory>
@@ -8,9 +8,9 @@
 #include "src/core/clock.h"
 #include "src/core/random.h"
 #include "src/core/result.h"
-#include "src/net/control_client.h"
-#include "src/net/framed_call.h"
-#include "src/net/framed_server.h"
+#include "src/net/control/control_client.h"
+#include "src/net/control/framed_call.h"
+#include "src/net/control/framed_server.h"
 #include "src/net/serial_queue.h"
 #include "src/tables/list_table.h"
 #include "src/wire/control_messages.h"
@@ -68,4 +68,4 @@
 
 }  // namespace marigold
 
-#endif  // SRC_NET_LIST_SHARING_H_
+#endif  // SRC_NET_CONTROL_LIST_SHARING_H_
--- a/src/net/list_stream.cc
+++ b/src/net/control/list_stream.cc
@@ -1,4 +1,4 @@
-#include "src/net/list_stream.h"
+#include "src/net/control/list_stream.h"
 
 #include <utility>
 #include <variant>
--- a/src/net/list_stream.h
+++ b/src/net/control/list_stream.h
@@ -1,5 +1,5 @@
-#ifndef SRC_NET_LIST_STREAM_H_
-#define SRC_NET_LIST_STREAM_H_
+#ifndef SRC_NET_CONTROL_LIST_STREAM_H_
+#define SRC_NET_CONTROL_LIST_STREAM_H_
 
 #include <functional>
 #include <memory>
@@ -7,8 +7,8 @@
 #include <string>
 
 #include "src/core/clock.h"
-#include "src/net/control_client.h"
-#include "src/net/framed_connection.h"
+#include "src/net/control/control_client.h"
+#include "src/net/control/framed_connection.h"
 #include "src/net/serial_queue.h"
 #include "src/policy/control_choice.h"
 #include "src/tables/list_table.h"
@@ -78,4 +78,4 @@
 
 }  // namespace marigold
 
-#endif  // SRC_NET_LIST_STREAM_H_
+#endif  // SRC_NET_CONTROL_LIST_STREAM_H_
--- a/src/net/peer_links.cc
+++ b/src/net/control/peer_links.cc
@@ -1,4 +1,4 @@
-#include "src/net/peer_links.h"
+#include "src/net/control/peer_links.h"
 
 #include <algorithm>
 #include <map>
@@ -9,7 +9,7 @@
 #include "src/core/log.h"
 #include "src/core/random.h"
 #include "src/core/ranked_mutex.h"
-#include "src/net/framed_connection.h"
+#include "src/net/control/framed_connection.h"
 
 namespace marigold {
 
--- a/src/net/peer_links.h
+++ b/src/net/control/peer_links.h
@@ -1,5 +1,5 @@
-#ifndef SRC_NET_PEER_LINKS_H_
-#define SRC_NET_PEER_LINKS_H_
+#ifndef SRC_NET_CONTROL_PEER_LINKS_H_
+#define SRC_NET_CONTROL_PEER_LINKS_H_
 
 #include <functional>
 #include <memory>
@@ -41,4 +41,4 @@
 
 }  // namespace marigold
 
-#endif  // SRC_NET_PEER_LINKS_H_
+#endif  // SRC_NET_CONTROL_PEER_LINKS_H_
--- a/src/net/pending_entries.h
+++ b/src/net/control/pending_entries.h
@@ -1,5 +1,5 @@
-#ifndef SRC_NET_PENDING_ENTRIES_H_
-#define SRC_NET_PENDING_ENTRIES_H_
+#ifndef SRC_NET_CONTROL_PENDING_ENTRIES_H_
+#define SRC_NET_CONTROL_PENDING_ENTRIES_H_
 
 #include <cstddef>
 #include <functional>
@@ -67,4 +67,4 @@
 
 }  // namespace marigold
 
-#endif  // SRC_NET_PENDING_ENTRIES_H_
+#endif  // SRC_NET_CONTROL_PENDING_ENTRIES_H_
--- a/src/net/subscriber_hub.cc
+++ b/src/net/control/subscriber_hub.cc
@@ -1,4 +1,4 @@
-#include "src/net/subscriber_hub.h"
+#include "src/net/control/subscriber_hub.h"
 
 #include <algorithm>
 #include <atomic>
--- a/src/net/subscriber_hub.h
+++ b/src/net/control/subscriber_hub.h
@@ -1,11 +1,11 @@
-#ifndef SRC_NET_SUBSCRIBER_HUB_H_
-#define SRC_NET_SUBSCRIBER_HUB_H_
+#ifndef SRC_NET_CONTROL_SUBSCRIBER_HUB_H_
+#define SRC_NET_CONTROL_SUBSCRIBER_HUB_H_
 
 #include <memory>
 #include <vector>
 
 #include "src/core/units.h"
-#include "src/net/framed_connection.h"
+#include "src/net/control/framed_connection.h"
 #include "src/net/worker_pool.h"
 #include "src/tables/control_status.h"
 #include "src/tables/control_table.h"
@@ -57,4 +57,4 @@
 
 }  // namespace marigold
 
-#endif  // SRC_NET_SUBSCRIBER_HUB_H_
+#endif  // SRC_NET_CONTROL_SUBSCRIBER_HUB_H_
--- a/src/net/http_client.cc
+++ b/src/net/http/http_client.cc
@@ -1,10 +1,10 @@
-#include "src/net/http_client.h"
+#include "src/net/http/http_client.h"
 
 #include <boost/asio/dispatch.hpp>
 #include <string>
 #include <utility>
 
-#include "src/net/http_client_session.h"
+#include "src/net/http/http_client_session.h"
 
 namespace marigold {
 
--- a/src/net/http_client.h
+++ b/src/net/http/http_client.h
@@ -1,5 +1,5 @@
-#ifndef SRC_NET_HTTP_CLIENT_H_
-#define SRC_NET_HTTP_CLIENT_H_
+#ifndef SRC_NET_HTTP_HTTP_CLIENT_H_
+#define SRC_NET_HTTP_HTTP_CLIENT_H_
 
 #include <functional>
 #include <memory>
@@ -8,7 +8,7 @@
 
 #include "src/core/settings_values.h"
 #include "src/core/units.h"
-#include "src/net/http_message.h"
+#include "src/net/http/http_message.h"
 #include "src/net/worker_pool.h"
 
 namespace marigold {
@@ -72,4 +72,4 @@
 
 }  // namespace marigold
 
-#endif  // SRC_NET_HTTP_CLIENT_H_
+#endif  // SRC_NET_HTTP_HTTP_CLIENT_H_
--- a/src/net/http_client_session.cc
+++ b/src/net/http/http_client_session.cc
@@ -1,4 +1,4 @@
-#include "src/net/http_client_session.h"
+#include "src/net/http/http_client_session.h"
 
 #include <fmt/format.h>
 
--- a/src/net/http_client_session.h
+++ b/src/net/http/http_client_session.h
@@ -1,5 +1,5 @@
-#ifndef SRC_NET_HTTP_CLIENT_SESSION_H_
-#define SRC_NET_HTTP_CLIENT_SESSION_H_
+#ifndef SRC_NET_HTTP_HTTP_CLIENT_SESSION_H_
+#define SRC_NET_HTTP_HTTP_CLIENT_SESSION_H_
 
 #include <atomic>
 #include <boost/asio/ip/tcp.hpp>
@@ -12,7 +12,7 @@
 #include <optional>
 #include <string>
 
-#include "src/net/http_client.h"
+#include "src/net/http/http_client.h"
 
 namespace marigold::detail {
 
@@ -89,4 +89,4 @@
 
 }  // namespace marigold::detail
 
-#endif  // SRC_NET_HTTP_CLIENT_SESSION_H_
+#endif  // SRC_NET_HTTP_HTTP_CLIENT_SESSION_H_
--- a/src/net/http_message.h
+++ b/src/net/http/http_message.h
@@ -1,5 +1,5 @@
-#ifndef SRC_NET_HTTP_MESSAGE_H_
-#define SRC_NET_HTTP_MESSAGE_H_
+#ifndef SRC_NET_HTTP_HTTP_MESSAGE_H_
+#define SRC_NET_HTTP_HTTP_MESSAGE_H_
 
 #include <string>
 #include <utility>
@@ -29,4 +29,4 @@
 
 }  // namespace marigold
 
-#endif  // SRC_NET_HTTP_MESSAGE_H_
+#endif  // SRC_NET_HTTP_HTTP_MESSAGE_H_
--- a/src/net/http_server.cc
+++ b/src/net/http/http_server.cc
@@ -1,4 +1,4 @@
-#include "src/net/http_server.h"
+#include "src/net/http/http_server.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -10,7 +10,7 @@
 
 #include "src/core/log.h"
 #include "src/core/ranked_mutex.h"
-#include "src/net/http_session.h"
+#include "src/net/http/http_session.h"
 #include "src/net/open_acceptor.h"
 
 namespace marigold {
--- a/src/net/http_server.h
+++ b/src/net/http/http_server.h
@@ -1,5 +1,5 @@
-#ifndef SRC_NET_HTTP_SERVER_H_
-#define SRC_NET_HTTP_SERVER_H_
+#ifndef SRC_NET_HTTP_HTTP_SERVER_H_
+#define SRC_NET_HTTP_HTTP_SERVER_H_
 
 #include <cstddef>
 #include <functional>
@@ -8,7 +8,7 @@
 #include "src/core/result.h"
 #include "src/core/settings_values.h"
 #include "src/core/units.h"
-#include "src/net/http_message.h"
+#include "src/net/http/http_message.h"
 #include "src/net/worker_pool.h"
 
 namespace marigold {
@@ -67,4 +67,4 @@
 
 }  // namespace marigold
 
-#endif  // SRC_NET_HTTP_SERVER_H_
+#endif  // SRC_NET_HTTP_HTTP_SERVER_H_
--- a/src/net/http_session.cc
+++ b/src/net/http/http_session.cc
@@ -1,4 +1,4 @@
-#include "src/net/http_session.h"
+#include "src/net/http/http_session.h"
 
 #include <fmt/format.h>
 
@@ -8,7 +8,7 @@
 #include <boost/asio/write.hpp>
 #include <utility>
 
-#include "src/net/http_text.h"
+#include "src/net/http/http_text.h"
 
 namespace marigold::detail {
 
--- a/src/net/http_session.h
+++ b/src/net/http/http_session.h
@@ -1,5 +1,5 @@
-#ifndef SRC_NET_HTTP_SESSION_H_
-#define SRC_NET_HTTP_SESSION_H_
+#ifndef SRC_NET_HTTP_HTTP_SESSION_H_
+#define SRC_NET_HTTP_HTTP_SESSION_H_
 
 #include <atomic>
 #include <boost/asio/ip/tcp.hpp>
@@ -12,7 +12,7 @@
 #include <optional>
 #include <string>
 
-#include "src/net/http_server.h"
+#include "src/net/http/http_server.h"
 
 namespace marigold::detail {
 
@@ -108,4 +108,4 @@
 
 }  // namespace marigold::detail
 
-#endif  // SRC_NET_HTTP_SESSION_H_
+#endif  // SRC_NET_HTTP_HTTP_SESSION_H_
--- a/src/net/http_text.cc
+++ b/src/net/http/http_text.cc
@@ -1,4 +1,4 @@
-#include "src/net/http_text.h"
+#include "src/net/http/http_text.h"
 
 #include <fmt/format.h>
 
--- a/src/net/http_text.h
+++ b/src/net/http/http_text.h
@@ -1,12 +1,12 @@
-#ifndef SRC_NET_HTTP_TEXT_H_
-#define SRC_NET_HTTP_TEXT_H_
+#ifndef SRC_NET_HTTP_HTTP_TEXT_H_
+#define SRC_NET_HTTP_HTTP_TEXT_H_
 
 #include <boost/beast/http.hpp>
 #include <string>
 #include <string_view>
 
 #include "src/core/verdict.h"
-#include "src/net/http_message.h"
+#include "src/net/http/http_message.h"
 
 namespace marigold::detail {
 
@@ -28,4 +28,4 @@
 
 }  // namespace marigold::detail
 
-#endif  // SRC_NET_HTTP_TEXT_H_
+#endif  // SRC_NET_HTTP_HTTP_TEXT_H_
--- a/src/net/fleet_monitor.cc
+++ b/src/net/listing/fleet_monitor.cc
@@ -1,4 +1,4 @@
-#include "src/net/fleet_monitor.h"
+#include "src/net/listing/fleet_monitor.h"
 
 #include <utility>
 #include <vector>
--- a/src/net/fleet_monitor.h
+++ b/src/net/listing/fleet_monitor.h
@@ -1,11 +1,11 @@
-#ifndef SRC_NET_FLEET_MONITOR_H_
-#define SRC_NET_FLEET_MONITOR_H_
+#ifndef SRC_NET_LISTING_FLEET_MONITOR_H_
+#define SRC_NET_LISTING_FLEET_MONITOR_H_
 
 #include <memory>
 
 #include "src/core/settings_values.h"
 #include "src/core/units.h"
-#include "src/net/backend_client.h"
+#include "src/net/backends/backend_client.h"
 #include "src/net/worker_pool.h"
 #include "src/policy/status_schedule.h"
 #include "src/tables/server_table.h"
@@ -43,4 +43,4 @@
 
 }  // namespace marigold
 
-#endif  // SRC_NET_FLEET_MONITOR_H_
+#endif  // SRC_NET_LISTING_FLEET_MONITOR_H_
--- a/src/net/listing_poller.h
+++ b/src/net/listing/listing_poller.h
@@ -1,12 +1,12 @@
-#ifndef SRC_NET_LISTING_POLLER_H_
-#define SRC_NET_LISTING_POLLER_H_
+#ifndef SRC_NET_LISTING_LISTING_POLLER_H_
+#define SRC_NET_LISTING_LISTING_POLLER_H_
 
 #include <functional>
 #include <memory>
 #include <optional>
 #include <utility>
 
-#include "src/net/listing_reader.h"
+#include "src/net/listing/listing_reader.h"
 #include "src/tables/listing_table.h"
 
 namespace marigold {
@@ -76,4 +76,4 @@
 
 }  // namespace marigold
 
-#endif  // SRC_NET_LISTING_POLLER_H_
+#endif  // SRC_NET_LISTING_LISTING_POLLER_H_
--- a/src/net/listing_reader.h
+++ b/src/net/listing/listing_reader.h
@@ -1,5 +1,5 @@
-#ifndef SRC_NET_LISTING_READER_H_
-#define SRC_NET_LISTING_READER_H_
+#ifndef SRC_NET_LISTING_LISTING_READER_H_
+#define SRC_NET_LISTING_LISTING_READER_H_
 
 #include <concepts>
 #include <cstddef>
@@ -15,7 +15,7 @@
 #include "src/core/clock.h"
 #include "src/core/log.h"
 #include "src/core/result.h"
-#include "src/net/http_client.h"
+#include "src/net/http/http_client.h"
 #include "src/net/serial_queue.h"
 #include "src/policy/listing.h"
 
@@ -177,4 +177,4 @@
 
 }  // namespace marigold
 
-#endif  // SRC_NET_LISTING_READER_H_
+#endif  // SRC_NET_LISTING_LISTING_READER_H_
--- a/src/policy/backend_directory.cc
+++ b/src/policy/backend_directory.cc
@@ -349,6 +349,7 @@
     }
   }
   std::vector<ServerIndex> probes;
+  probes.reserve(targets.size());
   for (const auto& [data_centre, server] : targets) {
     probes.push_back(server);
   }
--- a/src/programs/control_process.cc
+++ b/src/programs/control_process.cc
@@ -5,7 +5,7 @@
 #include <utility>
 
 #include "src/core/log.h"
-#include "src/net/control_http.h"
+#include "src/net/control/control_http.h"
 
 namespace marigold {
 
--- a/src/programs/control_process.h
+++ b/src/programs/control_process.h
@@ -6,11 +6,11 @@
 #include <memory>
 
 #include "src/core/result.h"
-#include "src/net/control_driver.h"
-#include "src/net/control_server.h"
-#include "src/net/hint_relay.h"
-#include "src/net/http_server.h"
-#include "src/net/subscriber_hub.h"
+#include "src/net/control/control_driver.h"
+#include "src/net/control/control_server.h"
+#include "src/net/control/hint_relay.h"
+#include "src/net/control/subscriber_hub.h"
+#include "src/net/http/http_server.h"
 #include "src/net/worker_pool.h"
 #include "src/tables/control_table.h"
 #include "src/tables/listing_table.h"
--- a/src/programs/entry_process.h
+++ b/src/programs/entry_process.h
@@ -4,10 +4,10 @@
 #include <atomic>
 #include <memory>
 
-#include "src/net/caller_api.h"
-#include "src/net/control_client.h"
-#include "src/net/fleet_monitor.h"
-#include "src/net/http_server.h"
+#include "src/net/callers/caller_api.h"
+#include "src/net/control/control_client.h"
+#include "src/net/http/http_server.h"
+#include "src/net/listing/fleet_monitor.h"
 #include "src/programs/entry_settings.h"
 
 namespace marigold {
--- a/src/programs/entry_settings.h
+++ b/src/programs/entry_settings.h
@@ -7,10 +7,10 @@
 
 #include "src/core/log.h"
 #include "src/core/settings.h"
-#include "src/net/control_client.h"
-#include "src/net/entry_parts.h"
-#include "src/net/fleet_monitor.h"
-#include "src/net/http_server.h"
+#include "src/net/callers/entry_parts.h"
+#include "src/net/control/control_client.h"
+#include "src/net/http/http_server.h"
+#include "src/net/listing/fleet_monitor.h"
 #include "src/queries/find_limits.h"
 
 namespace marigold {
--- a/tests/backend_pool_test.cc
+++ b/tests/backend_pool_test.cc
@@ -1,4 +1,4 @@
-#include "src/net/backend_pool.h"
+#include "src/net/backends/backend_pool.h"
 
 #include <arpa/inet.h>
 #include <criterion/criterion.h>
@@ -16,7 +16,7 @@
 #include <vector>
 
 #include "src/core/invariant.h"
-#include "src/net/http_server.h"
+#include "src/net/http/http_server.h"
 #include "tests/row_indices.h"
 
 namespace marigold {
--- a/tests/control_client_test.cc
+++ b/tests/control_client_test.cc
@@ -1,4 +1,4 @@
-#include "src/net/control_client.h"
+#include "src/net/control/control_client.h"
 
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
@@ -13,7 +13,7 @@
 #include <variant>
 
 #include "src/core/clock.h"
-#include "src/net/framed_server.h"
+#include "src/net/control/framed_server.h"
 #include "src/wire/control_messages.h"
 #include "tests/control_rows.h"
 #include "tests/row_indices.h"
--- a/tests/framed_connection_test.cc
+++ b/tests/framed_connection_test.cc
@@ -1,4 +1,4 @@
-#include "src/net/framed_connection.h"
+#include "src/net/control/framed_connection.h"
 
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
@@ -14,7 +14,7 @@
 #include <string>
 #include <variant>
 
-#include "src/net/framed_server.h"
+#include "src/net/control/framed_server.h"
 #include "tests/row_indices.h"
 
 namespace marigold {
--- a/tests/http_server_test.cc
+++ b/tests/http_server_test.cc
@@ -1,4 +1,4 @@
-#include "src/net/http_server.h"
+#include "src/net/http/http_server.h"
 
 #include <arpa/inet.h>
 #include <criterion/criterion.h>
--- a/tests/platform/platform_standin.cc
+++ b/tests/platform/platform_standin.cc
@@ -15,7 +15,7 @@
 #include "src/core/log.h"
 #include "src/core/settings.h"
 #include "src/net/forward/caller_door.h"
-#include "src/net/http_server.h"
+#include "src/net/http/http_server.h"
 
 namespace marigold {
 
--- a/tools/load/balancer.h
+++ b/tools/load/balancer.h
@@ -9,7 +9,7 @@
 
 #include "src/core/settings_values.h"
 #include "src/core/units.h"
-#include "src/net/http_client.h"
+#include "src/net/http/http_client.h"
 #include "src/net/worker_pool.h"
 
 namespace marigold {
--- a/tools/load/load_kinds.h
+++ b/tools/load/load_kinds.h
@@ -9,7 +9,7 @@
 
 #include "src/core/clock.h"
 #include "src/core/ranked_mutex.h"
-#include "src/net/http_client.h"
+#include "src/net/http/http_client.h"
 #include "tools/load/action_book.h"
 #include "tools/load/action_call.h"
 #include "tools/load/load_request.h"
--- a/tools/load/load_tally.h
+++ b/tools/load/load_tally.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "src/core/ranked_mutex.h"
-#include "src/net/http_client.h"
+#include "src/net/http/http_client.h"
 #include "tools/load/answer_check.h"
 #include "tools/load/metrics.h"
 
--- a/tools/load/observers.cc
+++ b/tools/load/observers.cc
@@ -12,7 +12,7 @@
 #include <utility>
 #include <variant>
 
-#include "src/net/http_client.h"
+#include "src/net/http/http_client.h"
 
 namespace marigold {
 
--- a/tools/programs/marigold_control_load.cc
+++ b/tools/programs/marigold_control_load.cc
@@ -15,7 +15,7 @@
 #include "src/core/clock.h"
 #include "src/core/random.h"
 #include "src/core/settings.h"
-#include "src/net/control_client.h"
+#include "src/net/control/control_client.h"
 #include "src/net/serial_queue.h"
 #include "src/net/worker_pool.h"
 
--- a/tools/programs/marigold_relay.cc
+++ b/tools/programs/marigold_relay.cc
@@ -9,7 +9,7 @@
 
 #include "src/core/log.h"
 #include "src/core/settings.h"
-#include "src/net/http_server.h"
+#include "src/net/http/http_server.h"
 #include "src/net/worker_pool.h"
 #include "tools/relay/relay_control.h"
 
--- a/tools/programs/marigold_standin.cc
+++ b/tools/programs/marigold_standin.cc
@@ -5,7 +5,7 @@
 
 #include "src/core/log.h"
 #include "src/core/settings.h"
-#include "src/net/http_server.h"
+#include "src/net/http/http_server.h"
 #include "src/net/worker_pool.h"
 #include "tools/standin/churn.h"
 #include "tools/standin/platform_server.h"
--- a/tools/standin/platform_server.h
+++ b/tools/standin/platform_server.h
@@ -5,7 +5,7 @@
 
 #include "src/core/result.h"
 #include "src/core/settings_values.h"
-#include "src/net/http_server.h"
+#include "src/net/http/http_server.h"
 #include "src/net/worker_pool.h"
 #include "tools/standin/standin_system.h"
 
