Observations of one server apart from the directory

Change: policy/server_observations holds slowness, failures and waits of one server; no decision changes.

--- a/src/policy/backend_directory.cc
+++ b/src/policy/backend_directory.cc
@@ -1,31 +1,14 @@
 #include "src/policy/backend_directory.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace marigold {
 
 namespace {
 
-// Weight of the newest latency.
-constexpr double kSlownessWeight = 0.25;
-// Weight of a slow attempt that no pause explains. An entry VM may send only
-// one request a second to a server.
-constexpr double kConfirmedWeight = 0.6;
 // Usable servers for each that is reported as slow.
 constexpr std::size_t kLeastUsablePerHint = 2;
-// Servers pause now and then. Slow attempts count as such only if they began
-// further apart than a pause lasts, without an ordinary one in between.
-constexpr double kSlowSample = 2.5;
-constexpr Duration kLongestPause = std::chrono::milliseconds(200);
-constexpr double kPausedSample = 1.2;
-// A single sample counts at most this many times the typical latency.
-constexpr double kMostSlowness = 20;
-// What was observed of a server that gets no attempts loses half of its weight
-// in this time, so that a recovered server is tried again.
-constexpr Duration kSlownessHalfLife = std::chrono::seconds(4);
-// Weight of the newest outcome in a server's share of failures.
-constexpr double kFailingWeight = 0.15;
+constexpr double kPercent = 100;
 // An attempt that fails costs about this many typical latencies until another
 // server has answered, and a part of the retry budget.
 constexpr double kFailureCost = 3;
@@ -41,23 +24,15 @@
 // servers has answered for the given time. It then gets one attempt an interval
 // to see whether it has come back.
 constexpr std::uint32_t kSilentAttempts = 4;
-constexpr std::uint32_t kSilentServerAttempts = 2;
 constexpr Duration kCutOffAfter = std::chrono::milliseconds(300);
 constexpr Duration kProbeInterval = std::chrono::milliseconds(250);
 
-constexpr Duration kFirstBackoff = std::chrono::milliseconds(200);
-constexpr Duration kLongestBackoff = std::chrono::seconds(2);
 // The list shows a server that is gone for some seconds, while its address may
 // belong to another one. What arrives there counts as the other one's load.
 constexpr Duration kOtherServerBlock = std::chrono::seconds(5);
 // A full server is asked again soon.
 constexpr Duration kFullBackoff = std::chrono::milliseconds(30);
 
-double Ratio(Duration part, Duration whole) {
-  return static_cast<double>(part.count()) /
-         static_cast<double>(std::max<std::int64_t>(whole.count(), 1));
-}
-
 }  // namespace
 
 std::string_view ToString(SendFailure failure) {
@@ -121,11 +96,8 @@
   const auto [position, added] = this->index_by_key.try_emplace(
       ServerKey{listed.server, listed.started_at_ms});
   if (added) {
-    this->servers.emplace_back();
+    this->servers.emplace_back(now);
     position->second = ServerIndex(this->servers.size());
-    Server& server = this->servers.back();
-    server.silent_since = now;
-    server.slowness_at = now;
     this->services[listed.service].members.push_back(position->second);
   }
   Server& server = this->At(position->second);
@@ -136,15 +108,15 @@
   server.listed = listed;
   return position->second;
 }
-
-std::vector<ServerHint> BackendDirectory::TakeHints() {
+std::vector<ServerHint> BackendDirectory::TakeHints(MonotonicTime now) {
   std::vector<ServerHint> hints;
   std::size_t usable = 0;
   for (Server& server : this->servers) {
     usable += server.is_usable ? 1 : 0;
-    if (std::exchange(server.is_hint_due, false) && server.is_usable) {
-      hints.push_back({server.listed.server, server.listed.started_at_ms,
-                       static_cast<std::uint32_t>(server.slowness * 100)});
+    if (server.seen.TakeHintDue() && server.is_usable) {
+      hints.push_back(
+          {server.listed.server, server.listed.started_at_ms,
+           static_cast<std::uint32_t>(server.seen.Slowness(now) * kPercent)});
     }
   }
   if (hints.size() * kLeastUsablePerHint > usable) {
@@ -152,21 +124,14 @@
   }
   return hints;
 }
-
 void BackendDirectory::ApplyHints(MonotonicTime now,
                                   std::span<const ServerHint> hints) {
   for (const ServerHint& hint : hints) {
     const auto found =
         this->index_by_key.find(ServerKey{hint.server, hint.started_at_ms});
-    if (found == this->index_by_key.end()) {
-      continue;
-    }
-    Server& server = this->At(found->second);
-    const double hinted = std::min(
-        static_cast<double>(hint.slowness_percent) / 100, kMostSlowness);
-    if (hinted > this->SlownessOf(now, server)) {
-      server.slowness = hinted;
-      server.slowness_at = now;
+    if (found != this->index_by_key.end()) {
+      this->At(found->second)
+          .seen.ApplyHint(now, hint.slowness_percent / kPercent);
     }
   }
 }
@@ -192,9 +157,9 @@
                                 const std::optional<ReportedLoad>& load) {
   Server& server = this->At(index);
   if (expected > Duration::zero()) {
-    this->AddSlowness(now, server, latency, expected);
+    server.seen.AddLatency(now, latency, expected);
   }
-  this->AddOutcome(now, server, false);
+  server.seen.AddOutcome(now, false);
   this->NoteAnswer(now, server);
   if (load) {
     server.reported_load = load->running + load->waiting;
@@ -202,38 +167,23 @@
   }
   this->EndAttempt(server);
 }
-
 void BackendDirectory::NoteAnswer(MonotonicTime now, Server& server) {
   server.silent_since = now;
-  server.unanswered = 0;
   DataCentre& data_centre = this->data_centres[server.listed.data_centre];
   if (this->IsCutOff(now, server.listed.data_centre)) {
     this->ReleaseDataCentre(server.listed.data_centre);
   }
   data_centre.last_answer = now;
   data_centre.silent = 0;
-  server.backoff = Duration::zero();
-  server.avoid_until = MonotonicTime::min();
+  server.seen.OnAnswer();
 }
-
 void BackendDirectory::ReleaseDataCentre(const DataCentreId& data_centre) {
   for (Server& server : this->servers) {
     if (server.listed.data_centre == data_centre) {
-      server.backoff = Duration::zero();
-      server.avoid_until = MonotonicTime::min();
-      server.blocked_until = MonotonicTime::min();
-      server.unanswered = 0;
-      server.failing = 0;
+      server.seen.Release();
     }
   }
 }
-
-void BackendDirectory::BackOff(MonotonicTime now, Server& server) {
-  server.backoff =
-      std::clamp(server.backoff * 2, kFirstBackoff, kLongestBackoff);
-  server.avoid_until = now + server.backoff;
-}
-
 void BackendDirectory::OnDroppedEnd(MonotonicTime now,
                                     ServerIndex index,
                                     Duration elapsed,
@@ -241,38 +191,32 @@
                                     bool answered) {
   Server& server = this->At(index);
   if (expected > Duration::zero()) {
-    this->AddSlowness(now, server, elapsed, expected);
+    server.seen.AddLatency(now, elapsed, expected);
   }
   if (answered) {
     this->NoteAnswer(now, server);
-    return;
-  }
-  this->OnSilent(server);
-  this->BackOff(now, server);
-  // One answer may be lost on the way.
-  if (++server.unanswered >= kSilentServerAttempts) {
-    server.blocked_until = server.avoid_until;
+  } else {
+    this->OnSilent(server);
+    server.seen.OnUnanswered(now);
   }
 }
-
 void BackendDirectory::OnFailure(MonotonicTime now,
                                  ServerIndex index,
                                  SendFailure failure) {
   Server& server = this->At(index);
   this->EndAttempt(server);
-  this->AddOutcome(now, server, true);
+  server.seen.AddOutcome(now, true);
   switch (failure) {
     case SendFailure::kNotExecuted:
-      server.avoid_until = std::max(server.avoid_until, now + kFullBackoff);
+      server.seen.AvoidFor(now, kFullBackoff);
       return;
     case SendFailure::kOtherServer:
-      server.blocked_until = now + kOtherServerBlock;
+      server.seen.BlockFor(now, kOtherServerBlock);
       return;
     case SendFailure::kUnreachable:
     case SendFailure::kNotConnected:
       this->OnSilent(server);
-      this->BackOff(now, server);
-      server.blocked_until = server.avoid_until;
+      server.seen.Block(now);
       return;
     case SendFailure::kTimeout:
       this->OnSilent(server);
@@ -280,20 +224,17 @@
     case SendFailure::kConnectionLost:
     case SendFailure::kBadAnswer:
     case SendFailure::kServerError:
-      this->BackOff(now, server);
+      server.seen.BackOff(now);
       return;
   }
 }
-
 void BackendDirectory::OnCancelled(MonotonicTime now,
                                    ServerIndex index,
                                    Duration elapsed,
                                    Duration expected) {
   Server& server = this->At(index);
-  const double sample = Ratio(elapsed, expected);
-  // The answer would have taken longer than this.
-  if (expected > Duration::zero() && sample > this->SlownessOf(now, server)) {
-    this->AddSlowness(now, server, elapsed, expected);
+  if (expected > Duration::zero()) {
+    server.seen.AddLowerBound(now, elapsed, expected);
   }
   if (elapsed >= std::max(expected * kSilentOverTypical, kShortestSilence)) {
     this->OnSilent(server);
@@ -371,7 +312,7 @@
 }
 
 bool BackendDirectory::IsOpen(MonotonicTime now, const Server& server) const {
-  if (!server.is_usable || now < server.blocked_until) {
+  if (!server.is_usable || server.seen.IsBlocked(now)) {
     return false;
   }
   const DataCentreId& data_centre = server.listed.data_centre;
@@ -391,49 +332,6 @@
   return this->servers.at(server.value() - 1);
 }
 
-double BackendDirectory::SlownessOf(MonotonicTime now,
-                                    const Server& server) const {
-  const double age = Ratio(now - server.slowness_at, kSlownessHalfLife);
-  return 1 + (server.slowness - 1) * std::exp2(-age);
-}
-
-double BackendDirectory::FailingOf(MonotonicTime now,
-                                   const Server& server) const {
-  const double age = Ratio(now - server.failing_at, kSlownessHalfLife);
-  return server.failing * std::exp2(-age);
-}
-
-void BackendDirectory::AddOutcome(MonotonicTime now,
-                                  Server& server,
-                                  bool failed) {
-  const double known = this->FailingOf(now, server);
-  server.failing = known + kFailingWeight * ((failed ? 1 : 0) - known);
-  server.failing_at = now;
-}
-
-void BackendDirectory::AddSlowness(MonotonicTime now,
-                                   Server& server,
-                                   Duration elapsed,
-                                   Duration expected) {
-  double sample = Ratio(elapsed, expected);
-  double weight = kSlownessWeight;
-  if (sample < kSlowSample) {
-    server.slow_since.reset();
-  } else {
-    const MonotonicTime began = now - elapsed;
-    server.slow_since = std::min(server.slow_since.value_or(began), began);
-    if (began - *server.slow_since < kLongestPause) {
-      sample = kPausedSample;
-    } else {
-      weight = kConfirmedWeight;
-      server.is_hint_due = true;
-    }
-  }
-  const double known = this->SlownessOf(now, server);
-  server.slowness = known + weight * (std::min(sample, kMostSlowness) - known);
-  server.slowness_at = now;
-}
-
 ServerView BackendDirectory::ViewOf(MonotonicTime now,
                                     ServerIndex index,
                                     const Server& server,
@@ -443,17 +341,17 @@
   view.state = ServerState::kServing;
   view.same_data_centre =
       server.listed.data_centre == this->settings.data_centre;
-  view.suspect = now < server.avoid_until;
+  view.suspect = server.seen.IsAvoided(now);
   view.slots = std::max(server.listed.slots, 1U);
   view.in_flight = server.in_flight;
   view.limit = server.in_flight + 1;
   view.reported_load = server.reported_load;
   view.report_age = now - server.reported_at;
-  const double failing = std::min(this->FailingOf(now, server), kMostFailing);
+  const double failing = std::min(server.seen.Failing(now), kMostFailing);
   const double cold = server.listed.is_cold ? kColdSlowness : 1;
   view.latency_estimate = Duration(static_cast<std::int64_t>(
-      static_cast<double>(expected.count()) * this->SlownessOf(now, server) *
-      cold * (1 + kFailureCost * failing / (1 - failing))));
+      static_cast<double>(expected.count()) * server.seen.Slowness(now) * cold *
+      (1 + kFailureCost * failing / (1 - failing))));
   view.silent_for =
       server.in_flight > 0 ? now - server.silent_since : Duration::zero();
   view.usable_for = now - server.usable_since;
--- a/src/policy/backend_directory.h
+++ b/src/policy/backend_directory.h
@@ -17,6 +17,7 @@
 #include "src/policy/retry_budget.h"
 #include "src/policy/search_types.h"
 #include "src/policy/server_hint.h"
+#include "src/policy/server_observations.h"
 #include "src/policy/server_view.h"
 
 namespace marigold {
@@ -80,7 +81,7 @@
 
   // The servers that were found slow since the last call. Nothing if that is
   // true of many: then this VM is slow itself.
-  std::vector<ServerHint> TakeHints();
+  std::vector<ServerHint> TakeHints(MonotonicTime now);
 
   // Takes what other entry VMs found.
   void ApplyHints(MonotonicTime now, std::span<const ServerHint> hints);
@@ -147,27 +148,12 @@
 
  private:
   struct Server {
+    explicit Server(MonotonicTime now) : seen(now), silent_since(now) {}
+
     ListedServer listed;
     bool is_usable = false;
     std::uint32_t in_flight = 0;
-    // Latency over the service's typical one; 1 is typical.
-    double slowness = 1;
-    MonotonicTime slowness_at;
-    // When the first slow attempt after the last ordinary one began.
-    std::optional<MonotonicTime> slow_since;
-    // Slow, as no pause explains, since hints were taken last.
-    bool is_hint_due = false;
-    // Share of the recent attempts that failed.
-    double failing = 0;
-    MonotonicTime failing_at;
-    // Not used before this unless no other server is left.
-    MonotonicTime avoid_until = MonotonicTime::min();
-    // Not used before this at all: nothing listens at its address, or another
-    // server does.
-    MonotonicTime blocked_until = MonotonicTime::min();
-    Duration backoff{};
-    // Attempts without any answer since the last one.
-    std::uint32_t unanswered = 0;
+    ServerObservations seen;
     std::uint32_t reported_load = 0;
     MonotonicTime reported_at{};
     // The last answer, or when the oldest attempt without one began.
@@ -214,16 +200,7 @@
   // Forgets why the servers of a data centre were not used.
   void ReleaseDataCentre(const DataCentreId& data_centre);
   void NoteAnswer(MonotonicTime now, Server& server);
-  void BackOff(MonotonicTime now, Server& server);
   ServerIndex Adopt(MonotonicTime now, const ListedServer& listed);
-  double SlownessOf(MonotonicTime now, const Server& server) const;
-  double FailingOf(MonotonicTime now, const Server& server) const;
-  void AddOutcome(MonotonicTime now, Server& server, bool failed);
-  // `elapsed` has passed since the attempt began.
-  void AddSlowness(MonotonicTime now,
-                   Server& server,
-                   Duration elapsed,
-                   Duration expected);
   ServerView ViewOf(MonotonicTime now,
                     ServerIndex index,
                     const Server& server,
--- a/src/programs/forward_process.h
+++ b/src/programs/forward_process.h
@@ -188,7 +188,7 @@
     ServerHints found;
     const auto probes = this->backends.Access([&](BackendDirectory& directory) {
       directory.SetShare(share);
-      found.hints = directory.TakeHints();
+      found.hints = directory.TakeHints(now);
       return directory.ProbeTargets(now);
     });
     if (!found.hints.empty()) {
--- a/tests/backend_directory_test.cc
+++ b/tests/backend_directory_test.cc
@@ -192,9 +192,11 @@
     reporter.directory.OnAnswer(reporter.now, ServerIndex(1), milliseconds(200),
                                 milliseconds(10), std::nullopt);
   }
-  const std::vector<ServerHint> hints = reporter.directory.TakeHints();
+  const std::vector<ServerHint> hints =
+      reporter.directory.TakeHints(reporter.now);
   cr_assert_eq(hints.size(), 1U, "expected 1, actual %zu", hints.size());
-  cr_assert(reporter.directory.TakeHints().empty(), "a hint is given once");
+  cr_assert(reporter.directory.TakeHints(reporter.now).empty(),
+            "a hint is given once");
   Fixture reader;
   reader.directory.ApplyHints(reader.now, hints);
   cr_assert_neq(reader.NameOf(reader.Place()), std::string("a"));
@@ -216,7 +218,7 @@
                                  std::nullopt);
     }
   }
-  cr_assert(fixture.directory.TakeHints().empty());
+  cr_assert(fixture.directory.TakeHints(fixture.now).empty());
 }
 
 }  // namespace marigold
