--- a/src/net/forward/backend_links.cc
+++ b/src/net/forward/backend_links.cc
@@ -12,7 +12,7 @@
   std::vector<LinkPtr>& candidates = this->free[server];
   const MonotonicTime now = this->lane->Now();
   while (!candidates.empty()) {
-    const LinkPtr link = std::move(candidates.back());
+    LinkPtr link = std::move(candidates.back());
     candidates.pop_back();
     if (link->IsUsable(now, longest_idle)) {
       link->Begin(std::move(exchange));
@@ -20,7 +20,7 @@
     }
     link->Close();
   }
-  const LinkPtr link = this->Make(server);
+  LinkPtr link = this->Make(server);
   link->Open(endpoint, std::move(exchange));
   return link;
 }
--- /dev/null
+++ b/src/net/forward/call_log.cc
@@ -0,0 +1,45 @@
+#include "src/net/forward/call_log.h"
+
+#include <fmt/format.h>
+
+#include <iterator>
+
+#include "src/core/log.h"
+
+namespace marigold {
+
+namespace {
+
+constexpr std::size_t kMostNamedFailures = 8;
+
+}  // namespace
+
+void CallLog::NoteFailure(const ListedServer& server,
+                          SendFailure failure,
+                          Duration after) {
+  if (++this->count > kMostNamedFailures) {
+    return;
+  }
+  fmt::format_to(std::back_inserter(this->failures), "{}{}/{}:{}@{:.0f}ms",
+                 this->failures.empty() ? "" : ",", server.service.value(),
+                 server.server.value(), ToString(failure),
+                 ToMilliseconds(after));
+}
+
+void CallLog::Write(const CallSummary& summary) const {
+  const ForwardTimes& times = summary.plan.times;
+  LogEvent(LogLevel::kInfo, "request_finished",
+           {{"request", summary.request},
+            {"route", summary.plan.route.value()},
+            {"routes_version", summary.routes_version.value()},
+            {"state", summary.state},
+            {"targets", summary.plan.targets.size()},
+            {"answered", summary.answered},
+            {"sends", summary.sends},
+            {"failures", this->count == 0 ? "none" : this->failures},
+            {"took_ms", ToMilliseconds(summary.took)},
+            {"answer_by_ms", ToMilliseconds(times.answer_by - times.began)},
+            {"limit_ms", ToMilliseconds(times.limit - times.began)}});
+}
+
+}  // namespace marigold
--- a/src/net/forward/forwarded_call.h
+++ b/src/net/forward/forwarded_call.h
@@ -1,10 +1,7 @@
 #ifndef SRC_NET_FORWARD_FORWARDED_CALL_H_
 #define SRC_NET_FORWARD_FORWARDED_CALL_H_
 
-#include <fmt/format.h>
-
 #include <functional>
-#include <iterator>
 #include <memory>
 #include <optional>
 #include <string>
@@ -13,8 +10,8 @@
 #include <variant>
 #include <vector>
 
-#include "src/core/log.h"
 #include "src/net/forward/backend_links.h"
+#include "src/net/forward/call_log.h"
 #include "src/net/forward/caller_session.h"
 #include "src/net/forward/dialect.h"
 #include "src/net/forward/lane.h"
@@ -41,9 +38,6 @@
   ForwardCounters& counters;
 };
 
-// Stable text for logs and metrics, such as "answered".
-std::string_view ToString(ForwardState state);
-
 // True for a status that promises that the request has not run.
 bool IsPromise(unsigned status);
 
@@ -89,7 +83,6 @@
   // by the server's idle timeout; one that breaks may have carried it.
   static constexpr Duration kFreshForUnsafe = std::chrono::milliseconds(700);
   static constexpr Duration kFreshForSafe = std::chrono::seconds(60);
-  static constexpr std::size_t kMostLoggedFailures = 8;
 
   MonotonicTime Now() const { return this->parts.lane->Now(); }
 
@@ -302,42 +295,24 @@
         {stamps, this->replies.size() - stamps.size(), body}, closes);
   }
 
-  // One line says how the request ended and what decided it. `failures` names
-  // the first failed sends: target, server, cause and time.
   void LogFinished(Duration latency) const {
-    const ForwardPlan& plan = this->forwarding.request();
-    LogEvent(
-        LogLevel::kInfo, "request_finished",
-        {{"request", this->head.request.value()},
-         {"route", plan.route.value()},
-         {"routes_version", this->routes_version.value()},
-         {"state",
-          this->is_caller_gone ? "caller_gone" : ToString(this->FinalState())},
-         {"targets", this->replies.size()},
-         {"answered", this->forwarding.answered_targets()},
-         {"sends", this->forwarding.sends_made()},
-         {"failures", this->failures.empty() ? "none" : this->failures},
-         {"took_ms", ToMilliseconds(latency)},
-         {"answer_by_ms",
-          ToMilliseconds(plan.times.answer_by - plan.times.began)},
-         {"limit_ms", ToMilliseconds(plan.times.limit - plan.times.began)}});
+    this->log.Write(
+        {this->head.request.value(), this->forwarding.request(),
+         this->routes_version,
+         this->is_caller_gone ? "caller_gone" : ToString(this->FinalState()),
+         this->forwarding.answered_targets(), this->forwarding.sends_made(),
+         latency});
   }
 
   void NoteFailure(MonotonicTime now,
                    const StartSend& step,
                    SendFailure failure) {
-    if (++this->failed_sends > kMostLoggedFailures) {
-      return;
-    }
     const ListedServer server =
         this->parts.backends.Access([&](BackendDirectory& directory) {
           return directory.Listed(step.server);
         });
-    fmt::format_to(
-        std::back_inserter(this->failures), "{}{}/{}:{}@{:.0f}ms",
-        this->failures.empty() ? "" : ",", server.service.value(),
-        server.server.value(), ToString(failure),
-        ToMilliseconds(now - this->forwarding.request().times.began));
+    this->log.NoteFailure(server, failure,
+                          now - this->forwarding.request().times.began);
   }
 
   void StopTimer() {
@@ -361,9 +336,7 @@
   std::vector<std::shared_ptr<BackendLink>> links;
   std::optional<BackendReply> last_error;
   std::size_t sends_that_may_run = 0;
-  // For the log.
-  std::string failures;
-  std::size_t failed_sends = 0;
+  CallLog log;
   std::optional<Lane::TimerKey> timer;
   bool is_caller_gone = false;
   bool is_finished = false;
--- a/src/policy/forwarding.h
+++ b/src/policy/forwarding.h
@@ -2,67 +2,20 @@
 #define SRC_POLICY_FORWARDING_H_
 
 #include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <utility>
-#include <variant>
 #include <vector>
 
 #include "src/core/random.h"
 #include "src/core/units.h"
 #include "src/policy/backend_directory.h"
 #include "src/policy/forward_timing.h"
+#include "src/policy/forward_types.h"
 
 namespace marigold {
 
-// One send of one request to one backend server, counted within the request.
-using SendId = detail::NumericId<struct SendTag>;
-
-// What a request asks for, after its route is known.
-struct ForwardPlan {
-  RouteName route;
-  // One service, or the shards of a fan-out.
-  std::vector<ServiceId> targets;
-  bool is_fan_out = false;
-  double minimum_coverage = 1;
-  bool is_idempotent = false;
-  // Servers of each target that may run the request.
-  std::uint32_t attempts = 1;
-  ForwardTimes times;
-};
-
-// Instructions to the code that drives a forwarded request.
-struct StartSend {
-  SendId send;
-  std::size_t target = 0;
-  ServerIndex server;
-};
-// Nobody waits for this answer any more.
-struct DropSend {
-  SendId send;
-  ServerIndex server;
-  MonotonicTime began;
-  // The latency of a typical server.
-  Duration expected{};
-};
-// Replaces any earlier time.
-struct WakeAt {
-  MonotonicTime at;
-};
-using ForwardStep = std::variant<StartSend, DropSend, WakeAt>;
-
-enum class ForwardState {
-  kRunning,
-  // Enough targets have answered.
-  kAnswered,
-  // The request surely did not run anywhere.
-  kNotRun,
-  // It may have run.
-  kFailed,
-  // The time is over without an answer; it may have run if it was sent.
-  kTimedOut,
-};
-
 // Decides where one request is sent and when it is answered. Several threads
 // may not use one object at the same time; `Table` is shared.
 template <class Table, class Replica, RandomSource Random>
