Keep a resent command's verdict about one send

Cause: marigoldctl answered "in doubt" for a command whose first send was lost and whose second was refused, so control_group saw exit 3 where the refusal is exit 1.

--- a/src/ctl/list_commands.cc
+++ b/src/ctl/list_commands.cc
@@ -52,9 +52,8 @@
              "marigoldctl: sending the change; to resend it, add "
              "--change-id={} --expected={}\n",
              edit->change.value(), edit->expected.value());
-  auto asked = group.Ask<SubmitReply>(Submit{CallId(1), *edit}, RefusalOf);
-  // A refusal of a resent change says nothing about its first send.
-  asked.in_doubt = asked.in_doubt || options.change.has_value();
+  const auto asked =
+      group.Ask<SubmitReply>(Submit{CallId(1), *edit}, RefusalOf);
   if (!asked.reply) {
     return ReportFailure(asked);
   }
