Elect a leader when syncs take longer than the election timeout

Cause: a ballot waits for a sync on every voter. Change: ballots back off after three lost votes, doubling up to sixteen times the timeout. A leader steps down after twice the election timeout plus twice its last sync time. The lease is unchanged. The driver reports the sync time.

--- a/src/net/control/control_driver.cc
+++ b/src/net/control/control_driver.cc
@@ -160,7 +160,9 @@
   }
   // What promises nothing of this disk goes out while it syncs.
   this->SendMessages();
-  this->replica->Flush(this->clock.Now());
+  const MonotonicTime flush_began = this->clock.Now();
+  this->replica->Flush(flush_began);
+  this->replica->OnSyncTook(this->clock.Now() - flush_began);
   this->SendMessages();
   this->ApplyCommitted();
   this->FailLostEntries();
--- a/src/replication/detail/consensus.h
+++ b/src/replication/detail/consensus.h
@@ -41,6 +41,7 @@
   Proposal ProposeMembership(MonotonicTime now,
                              WallTime wall,
                              const MembershipChange& change);
+  void OnSyncTook(Duration time) { this->state.sync_time = time; }
   // A member's disk is lost for good.
   void OnDiskGone(MonotonicTime now, const DiskId& disk);
   std::vector<ReplicaMessage> TakeMessages();
--- a/src/replication/detail/election.cc
+++ b/src/replication/detail/election.cc
@@ -6,6 +6,9 @@
 
 namespace {
 
+constexpr std::uint32_t kShortBallots = 3;
+constexpr std::uint32_t kMostDoublings = 4;
+
 // A time from `low` up to `low` and `span`.
 Duration Spread(NodeState& state, Duration low, Duration span) {
   const auto width = std::max<std::int64_t>(span.count(), 1);
@@ -29,7 +32,13 @@
 void Election::Begin(NodeState& state, Phase new_phase) {
   // A ballot that nobody won is repeated sooner than the first wait, so that a
   // leader is in place within four election timeouts of the loss of the last.
-  const Duration half = state.settings.election_timeout / 2;
+  // Where a vote takes longer to save than that, each ballot would end before
+  // it is counted, so that the wait grows after some.
+  const std::uint32_t extra = this->lost_ballots > kShortBallots
+                                  ? this->lost_ballots - kShortBallots
+                                  : 0;
+  const Duration half = state.settings.election_timeout / 2 *
+                        (1 << std::min(extra, kMostDoublings));
   this->due = state.now + Spread(state, half, half);
   this->step = new_phase;
   this->start = state.now;
@@ -50,6 +59,7 @@
 
 void Election::StartVote(NodeState& state) {
   this->Begin(state, Phase::kVote);
+  ++this->lost_ballots;
   state.AdoptTerm(Next(state.hard.term));
   state.VoteFor(state.disk);
   const LogPosition last = state.log.last_position();
--- a/src/replication/detail/election.h
+++ b/src/replication/detail/election.h
@@ -1,6 +1,7 @@
 #ifndef SRC_REPLICATION_DETAIL_ELECTION_H_
 #define SRC_REPLICATION_DETAIL_ELECTION_H_
 
+#include <cstdint>
 #include <set>
 
 #include "src/replication/detail/node_state.h"
@@ -19,6 +20,8 @@
   void Rearm(NodeState& state);
   // Ends the ballot.
   void Stop();
+  // Some member leads; ballots begin anew with the shortest wait.
+  void OnLeaderKnown() { this->lost_ballots = 0; }
   // Asks the other voters whether they would vote for this member.
   void StartPreVote(NodeState& state);
   // Begins a term as its candidate. The own vote counts once it is saved.
@@ -48,6 +51,8 @@
   MonotonicTime due;
   MonotonicTime start;
   std::set<DiskId> granted;
+  // Votes that this member asked for since it knew a leader.
+  std::uint32_t lost_ballots = 0;
 };
 
 }  // namespace marigold::detail
--- a/src/replication/detail/leadership.cc
+++ b/src/replication/detail/leadership.cc
@@ -118,8 +118,12 @@
 }
 
 bool Leadership::HasLostQuorum(const NodeState& state) const {
+  // Without the lease it neither proposes nor reads already. It steps down only
+  // after another timeout: where a sync takes longer than one, each new leader
+  // would resign before its followers have saved its first entry.
   return state.now >= this->QuorumContact(state, state.now) +
-                          state.settings.election_timeout;
+                          2 * state.settings.election_timeout +
+                          2 * state.sync_time;
 }
 
 bool Leadership::HasCommitted(const NodeState& state) const {
--- a/src/replication/detail/node_state.h
+++ b/src/replication/detail/node_state.h
@@ -72,6 +72,8 @@
   // since an earlier start may have answered a leader just before.
   MonotonicTime leader_contact;
   LogIndex commit;
+  // How long the last sync of this disk took; those of others may take as long.
+  Duration sync_time{};
   bool storage_failed = false;
   std::vector<ReplicaMessage> ready;
   // Given out after the next successful flush.
--- a/src/replication/replica.h
+++ b/src/replication/replica.h
@@ -61,6 +61,9 @@
     return this->consensus->ProposeMembership(now, wall, change);
   }
 
+  // The last flush took this long.
+  void OnSyncTook(Duration time) { this->consensus->OnSyncTook(time); }
+
   // A member's disk is lost for good: its VM has come back with another one.
   void OnDiskGone(MonotonicTime now, const DiskId& disk) {
     this->consensus->OnDiskGone(now, disk);
