Test elections on slow disks

Change: the test group can make each sync take a time during which its process does nothing. A table of seven rows asks for a first entry.

--- a/tests/replication_group.h
+++ b/tests/replication_group.h
@@ -38,6 +38,8 @@
     MemoryStorage storage;
     SeededRandom random;
     std::optional<TestReplica> replica;
+    // The end of the sync that holds up the process.
+    MonotonicTime busy_until;
     // What the state machine has: the payloads of committed commands.
     std::vector<std::string> applied;
     LogIndex applied_index;
@@ -205,7 +207,7 @@
       if (this->cut.contains({message.from, message.to})) {
         continue;
       }
-      if (this->frozen.contains(message.to)) {
+      if (this->IsHeldUp(message.to)) {
         this->network.push_back(std::move(message));
         continue;
       }
@@ -215,13 +217,15 @@
       }
     }
     for (auto& [disk, node] : this->nodes) {
-      if (node->replica && !this->frozen.contains(disk)) {
+      if (node->replica && !this->IsHeldUp(disk)) {
         this->Drive(*node);
       }
     }
   }
 
   ReplicaSettings settings;
+  // How long each sync of a disk takes; its process does nothing meanwhile.
+  Duration sync_time{};
   MonotonicTime now{std::chrono::seconds(1000)};
   std::map<DiskId, std::unique_ptr<Node>> nodes;
   std::deque<ReplicaMessage> network;
@@ -229,13 +233,24 @@
   std::map<DiskId, std::size_t> sent;
 
  private:
+  bool IsHeldUp(const DiskId& disk) const {
+    const auto node = this->nodes.find(disk);
+    return this->frozen.contains(disk) ||
+           (node != this->nodes.end() && this->now < node->second->busy_until);
+  }
   void Drive(Node& node) {
     TestReplica& replica = *node.replica;
     if (replica.NextTick() <= this->now) {
       replica.Tick(this->now);
     }
     this->Collect(node);
+    const std::size_t syncs = node.storage.syncs;
     replica.Flush(this->now);
+    if (this->sync_time > Duration() && node.storage.syncs != syncs) {
+      node.busy_until = this->now + this->sync_time;
+      replica.OnSyncTook(this->sync_time);
+      return;
+    }
     this->Collect(node);
     for (Committed& item : replica.TakeCommitted()) {
       this->Apply(node, item);
--- a/tests/replication_test.cc
+++ b/tests/replication_test.cc
@@ -63,8 +63,47 @@
     {"receives nothing", CutWhatItReceives},
 };
 
+struct SlowDiskRow {
+  Duration sync_time;
+  std::size_t voters;
+};
+
+// Guards against ballots that end before a slow disk has saved the votes, and
+// against leaders that resign before their first entry is saved.
+const SlowDiskRow kSlowDiskRows[] = {
+    {milliseconds(20), 3},  {milliseconds(100), 3}, {milliseconds(100), 5},
+    {milliseconds(300), 3}, {milliseconds(300), 5}, {milliseconds(500), 3},
+    {milliseconds(500), 5},
+};
+
 }  // namespace
 
+ParameterizedTestParameters(Replication, ElectsALeaderOnSlowDisks) {
+  return RowIndices(kSlowDiskRows);
+}
+
+ParameterizedTest(std::size_t* index, Replication, ElectsALeaderOnSlowDisks) {
+  const SlowDiskRow& row = kSlowDiskRows[*index];
+  TestGroup group(row.voters);
+  group.sync_time = row.sync_time;
+
+  const bool elected = group.RunUntil(
+      [&] {
+        for (const auto& [disk, node] : group.nodes) {
+          if (!node->applied_index.value()) {
+            return false;
+          }
+        }
+        return true;
+      },
+      seconds(20));
+
+  cr_assert(
+      elected, "%zu voters with syncs of %lld ms: no entry in 20 s", row.voters,
+      static_cast<long long>(
+          std::chrono::duration_cast<milliseconds>(row.sync_time).count()));
+}
+
 ParameterizedTestParameters(Replication, CommitsWithAMajorityOfVoters) {
   return RowIndices(kAvailabilityRows);
 }
