Log slow syncs and changes of the leader

Cause: fault_soak runs without a leader left no line that says why, and the driver reported a flush that wrote nothing as a sync of no time, so that the time-out of a leader on a slow disk did not grow. Change: only a real sync is reported, at most 2 s of it count, and a sync longer than the election timeout and each change of the leader are logged.

--- a/src/net/control/control_driver.cc
+++ b/src/net/control/control_driver.cc
@@ -160,15 +160,43 @@
   }
   // What promises nothing of this disk goes out while it syncs.
   this->SendMessages();
-  const MonotonicTime flush_began = this->clock.Now();
-  this->replica->Flush(flush_began);
-  this->replica->OnSyncTook(this->clock.Now() - flush_began);
+  this->FlushReplica();
   this->SendMessages();
+  this->LogLeader();
   this->ApplyCommitted();
   this->FailLostEntries();
   this->CompactIfDue();
 }
 
+void ControlDriver::Impl::FlushReplica() {
+  const std::uint64_t syncs = this->counters.storage.syncs;
+  const MonotonicTime began = this->clock.Now();
+  this->replica->Flush(began);
+  if (this->counters.storage.syncs == syncs) {
+    return;
+  }
+  const Duration took = this->clock.Now() - began;
+  this->replica->OnSyncTook(took);
+  if (took > this->settings.replica.election_timeout) {
+    LogEvent(LogLevel::kWarning, "slow_sync",
+             {{"disk", this->disk.value()},
+              {"ms", std::chrono::duration_cast<std::chrono::milliseconds>(took)
+                         .count()}});
+  }
+}
+
+void ControlDriver::Impl::LogLeader() {
+  const std::optional<DiskId> leader = this->replica->leader();
+  if (leader == this->logged_leader) {
+    return;
+  }
+  this->logged_leader = leader;
+  LogEvent(LogLevel::kInfo, "leader_changed",
+           {{"disk", this->disk.value()},
+            {"leader", leader ? leader->value() : ""},
+            {"term", this->replica->term().value()}});
+}
+
 void ControlDriver::Impl::TryFailedStorage(MonotonicTime now) {
   if (!this->replica || !this->replica->storage_failed() ||
       !this->on_storage_usable || now < this->storage_try_at) {
--- a/src/net/control/detail/control_driver_impl.h
+++ b/src/net/control/detail/control_driver_impl.h
@@ -104,6 +104,9 @@
   void NoteGoneDisks(MonotonicTime now, const Member& introduced);
   void AdmitMember(MonotonicTime now, const Member& member);
   void RunReplica(MonotonicTime now);
+  // Writes what is pending and reports syncs that hold up elections.
+  void FlushReplica();
+  void LogLeader();
   void Introduce(MonotonicTime now);
   void LearnIntroductionTarget(const Endpoint& endpoint);
   bool HasToIntroduce() const;
@@ -143,6 +146,7 @@
 
   RankedMutex<LockRank::kControlDriver> mutex;
   Storage storage;
+  std::optional<DiskId> logged_leader;
   DiskId disk;
   SeededRandom random;
   // Absent until the first membership is known.
--- a/src/replication/detail/leadership.cc
+++ b/src/replication/detail/leadership.cc
@@ -10,6 +10,10 @@
 
 namespace {
 
+// A sync that took longer, such as one during which the process was stopped,
+// says nothing about the next one.
+constexpr Duration kLongestSync = std::chrono::seconds(2);
+
 // The lease is shorter than the election timeout by this part, for clocks that
 // run at different rates.
 constexpr int kLeaseMarginParts = 10;
@@ -123,7 +127,7 @@
   // would resign before its followers have saved its first entry.
   return state.now >= this->QuorumContact(state, state.now) +
                           2 * state.settings.election_timeout +
-                          2 * state.sync_time;
+                          2 * std::min(state.sync_time, kLongestSync);
 }
 
 bool Leadership::HasCommitted(const NodeState& state) const {
