--- a/src/net/control/control_driver.cc
+++ b/src/net/control/control_driver.cc
@@ -162,7 +162,7 @@
   this->SendMessages();
   this->FlushReplica();
   this->SendMessages();
-  this->LogLeader();
+  this->LogLostLeader();
   this->ApplyCommitted();
   this->FailLostEntries();
   this->CompactIfDue();
@@ -177,24 +177,30 @@
   }
   const Duration took = this->clock.Now() - began;
   this->replica->OnSyncTook(took);
-  if (took > this->settings.replica.election_timeout) {
-    LogEvent(LogLevel::kWarning, "slow_sync",
-             {{"disk", this->disk.value()},
-              {"ms", std::chrono::duration_cast<std::chrono::milliseconds>(took)
-                         .count()}});
+  this->LogIfSlow("log", took);
+}
+
+void ControlDriver::Impl::LogIfSlow(std::string_view what, Duration took) {
+  if (took <= this->settings.replica.election_timeout) {
+    return;
   }
+  LogEvent(
+      LogLevel::kWarning, "slow_sync",
+      {{"disk", this->disk.value()},
+       {"what", what},
+       {"ms",
+        std::chrono::duration_cast<std::chrono::milliseconds>(took).count()}});
 }
 
-void ControlDriver::Impl::LogLeader() {
+void ControlDriver::Impl::LogLostLeader() {
   const std::optional<DiskId> leader = this->replica->leader();
-  if (leader == this->logged_leader) {
-    return;
+  if (this->last_leader && !leader) {
+    LogEvent(LogLevel::kWarning, "leader_lost",
+             {{"disk", this->disk.value()},
+              {"leader", this->last_leader->value()},
+              {"term", this->replica->term().value()}});
   }
-  this->logged_leader = leader;
-  LogEvent(LogLevel::kInfo, "leader_changed",
-           {{"disk", this->disk.value()},
-            {"leader", leader ? leader->value() : ""},
-            {"term", this->replica->term().value()}});
+  this->last_leader = leader;
 }
 
 void ControlDriver::Impl::TryFailedStorage(MonotonicTime now) {
--- a/src/net/control/control_driver_outputs.cc
+++ b/src/net/control/control_driver_outputs.cc
@@ -139,7 +139,9 @@
   this->applied_bytes = 0;
   LogEvent(LogLevel::kInfo, "snapshot",
            {{"index", this->applied.value()}, {"bytes", image.size()}});
+  const MonotonicTime began = this->clock.Now();
   this->replica->Compact(this->applied, std::move(image));
+  this->LogIfSlow("snapshot", this->clock.Now() - began);
 }
 
 void ControlDriver::Impl::Publish() {
--- a/src/net/control/detail/control_driver_impl.h
+++ b/src/net/control/detail/control_driver_impl.h
@@ -106,7 +106,8 @@
   void RunReplica(MonotonicTime now);
   // Writes what is pending and reports syncs that hold up elections.
   void FlushReplica();
-  void LogLeader();
+  void LogIfSlow(std::string_view what, Duration took);
+  void LogLostLeader();
   void Introduce(MonotonicTime now);
   void LearnIntroductionTarget(const Endpoint& endpoint);
   bool HasToIntroduce() const;
@@ -146,7 +147,7 @@
 
   RankedMutex<LockRank::kControlDriver> mutex;
   Storage storage;
-  std::optional<DiskId> logged_leader;
+  std::optional<DiskId> last_leader;
   DiskId disk;
   SeededRandom random;
   // Absent until the first membership is known.
