--- a/src/net/control/control_driver.cc
+++ b/src/net/control/control_driver.cc
@@ -35,7 +35,8 @@
       settings(std::move(driver_settings)),
       on_lists_changed(std::move(lists_handler)),
       storage(std::move(file_storage), counters.storage),
-      random(SystemSeed()) {}
+      random(SystemSeed()),
+      compact_delay(this->DrawCompactDelay()) {}
 
 Result<void> ControlDriver::Impl::Prepare() {
   this->links = std::make_unique<PeerLinks>(
--- a/src/net/control/control_driver_outputs.cc
+++ b/src/net/control/control_driver_outputs.cc
@@ -124,11 +124,13 @@
 }
 
 // A snapshot is as large as the whole state, so it is not written before that
-// many bytes have been applied since the last one.
+// many bytes have been applied since the last one. Members that saved theirs
+// after the same entry would all stop at once, and the group would lose its
+// leader.
 void ControlDriver::Impl::CompactIfDue() {
   const std::uint64_t since =
       this->applied.value() - this->replica->snapshot_index().value();
-  if (since < this->settings.compact_entries ||
+  if (since < this->settings.compact_entries + this->compact_delay ||
       this->applied_bytes < this->snapshot_bytes ||
       this->replica->storage_failed()) {
     return;
@@ -137,6 +139,7 @@
   this->snapshot_bytes = image.size();
   this->counters.snapshot_bytes = image.size();
   this->applied_bytes = 0;
+  this->compact_delay = this->DrawCompactDelay();
   LogEvent(LogLevel::kInfo, "snapshot",
            {{"index", this->applied.value()}, {"bytes", image.size()}});
   const MonotonicTime began = this->clock.Now();
@@ -144,6 +147,10 @@
   this->LogIfSlow("snapshot", this->clock.Now() - began);
 }
 
+std::uint64_t ControlDriver::Impl::DrawCompactDelay() {
+  return this->random.Below(this->settings.compact_entries);
+}
+
 void ControlDriver::Impl::Publish() {
   ControlStatus status;
   status.self = this->OwnMember();
--- a/src/net/control/detail/control_driver_impl.h
+++ b/src/net/control/detail/control_driver_impl.h
@@ -120,6 +120,7 @@
   void TryFailedStorage(MonotonicTime now);
   void FailLostEntries();
   void CompactIfDue();
+  std::uint64_t DrawCompactDelay();
   void Publish();
   void ReportListsChanged();
   // Calls `call` after the lock is released.
@@ -150,6 +151,8 @@
   std::optional<DiskId> last_leader;
   DiskId disk;
   SeededRandom random;
+  // Entries beyond the setting before the next snapshot; differs by member.
+  std::uint64_t compact_delay;
   // Absent until the first membership is known.
   std::optional<DriverReplica> replica;
   std::optional<GroupFormation> formation;
