Share one deadline timer between HTTP sessions

Cause: HttpSession and HttpClientSession each held the same deadline, timer flag and re-arming code. Change: DeadlineTimer has it once; a session says whether it has a deadline and what happens when it passes. Behaviour is the same.

--- a/src/net/http/http_client_session.cc
+++ b/src/net/http/http_client_session.cc
@@ -51,7 +51,7 @@
     return;
   }
   this->state = State::kConnecting;
-  this->SetDeadline(timeout);
+  this->timer.Set(*this, timeout);
   this->socket.async_connect(
       asio::ip::tcp::endpoint(address, this->endpoint.port),
       [self = this->shared_from_this(), done = std::move(done)](
@@ -90,7 +90,7 @@
   this->parser->body_limit(kResponseBodyBytes);
   this->parser->eager(true);
   this->outgoing = EncodeRequest(method, path, this->host, body);
-  this->SetDeadline(timeout);
+  this->timer.Set(*this, timeout);
   this->writing = true;
   asio::async_write(this->socket, asio::buffer(this->outgoing),
                     [self = this->shared_from_this()](const ErrorCode& error,
@@ -198,32 +198,12 @@
   }
 }
 
-void HttpClientSession::SetDeadline(Duration timeout) {
-  this->deadline = std::chrono::steady_clock::now() + timeout;
-  if (!this->timer_set || this->timer.expiry() > this->deadline) {
-    this->SetTimer();
-  }
-}
-
-void HttpClientSession::SetTimer() {
-  this->timer_set = true;
-  this->timer.expires_at(this->deadline);
-  this->timer.async_wait(
-      [weak = this->weak_from_this()](const ErrorCode& error) {
-        if (const auto self = weak.lock(); self && !error) {
-          self->OnTimer();
-        }
-      });
+bool HttpClientSession::has_deadline() const {
+  return this->state == State::kConnecting || this->state == State::kBusy;
 }
 
-void HttpClientSession::OnTimer() {
-  this->timer_set = false;
-  if (this->state != State::kConnecting && this->state != State::kBusy) {
-    return;
-  }
-  if (std::chrono::steady_clock::now() < this->deadline) {
-    this->SetTimer();
-  } else if (this->state == State::kConnecting) {
+void HttpClientSession::OnDeadline() {
+  if (this->state == State::kConnecting) {
     this->Shut();
   } else {
     this->End(ExchangeFailure::kTimeout);
@@ -238,7 +218,7 @@
 void HttpClientSession::Shut() {
   this->state = State::kClosed;
   this->reusable = false;
-  this->timer.cancel();
+  this->timer.Cancel();
   ErrorCode ignored;
   this->socket.close(ignored);
 }
--- a/src/net/http/http_client_session.h
+++ b/src/net/http/http_client_session.h
@@ -3,23 +3,21 @@
 
 #include <atomic>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
-#include <chrono>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
 
+#include "src/net/http/deadline_timer.h"
 #include "src/net/http/http_client.h"
 
 namespace marigold::detail {
 
 // One client connection. A read is always outstanding while it is open, so that
-// a close by the server is seen at once. One timer serves all exchanges; it is
-// set again only when it fires or has to fire earlier. All members but the
-// atomic ones are used only on the executor's strand.
+// a close by the server is seen at once. All members but the atomic ones are
+// used only on the executor's strand.
 class HttpClientSession
     : public std::enable_shared_from_this<HttpClientSession> {
  public:
@@ -44,11 +42,15 @@
   bool is_reusable() const { return this->reusable; }
   bool was_refused() const { return this->refused; }
 
+  // What `DeadlineTimer` calls.
+
+  bool has_deadline() const;
+  void OnDeadline();
+
  private:
   enum class State { kNew, kConnecting, kIdle, kBusy, kClosed };
 
   using ErrorCode = boost::system::error_code;
-  using Deadline = std::chrono::steady_clock::time_point;
   using Parser =
       boost::beast::http::response_parser<boost::beast::http::string_body>;
 
@@ -62,9 +64,6 @@
   void Parse();
   void Complete();
   void MakeIdle();
-  void SetDeadline(Duration timeout);
-  void SetTimer();
-  void OnTimer();
   void End(ExchangeFailure failure);
   void Shut();
   void Report(ExchangeOutcome outcome);
@@ -72,15 +71,13 @@
   Endpoint endpoint;
   std::string host;
   boost::asio::ip::tcp::socket socket;
-  boost::asio::steady_timer timer;
+  DeadlineTimer timer;
   boost::beast::flat_buffer buffer;
   std::string outgoing;
   std::optional<Parser> parser;
   std::function<void(ExchangeOutcome)> on_outcome;
   std::function<void()> on_idle_closed;
-  Deadline deadline;
   State state = State::kNew;
-  bool timer_set = false;
   bool writing = false;
   bool read_ended = false;
   std::atomic<bool> reusable = false;
--- a/src/net/http/http_session.cc
+++ b/src/net/http/http_session.cc
@@ -72,7 +72,7 @@
   this->parser->body_limit(this->shared->limits.body_bytes);
   if (this->buffer.size() > 0) {
     this->state = State::kReading;
-    this->SetDeadline(this->shared->limits.read_timeout);
+    this->timer.Set(*this, this->shared->limits.read_timeout);
     this->Parse();
     return;
   }
@@ -80,7 +80,7 @@
     this->Close();
     return;
   }
-  this->SetDeadline(this->shared->limits.idle_timeout);
+  this->timer.Set(*this, this->shared->limits.idle_timeout);
   this->Read();
 }
 
@@ -113,7 +113,7 @@
   this->buffer.commit(size);
   if (this->state == State::kIdle) {
     this->state = State::kReading;
-    this->SetDeadline(this->shared->limits.read_timeout);
+    this->timer.Set(*this, this->shared->limits.read_timeout);
   }
   this->Parse();
 }
@@ -213,7 +213,7 @@
 void HttpSession::Write(const HttpResponse& response, bool keep_alive) {
   this->state = State::kWriting;
   this->outgoing = EncodeResponse(response, keep_alive);
-  this->SetDeadline(this->shared->limits.write_timeout);
+  this->timer.Set(*this, this->shared->limits.write_timeout);
   asio::async_write(this->socket, asio::buffer(this->outgoing),
                     [self = this->shared_from_this(), keep_alive](
                         const ErrorCode& error, std::size_t /*size*/) {
@@ -240,37 +240,17 @@
   }
   this->state = State::kLingering;
   this->buffer.clear();
-  this->SetDeadline(kLingerTime);
+  this->timer.Set(*this, kLingerTime);
   this->Read();
 }
 
-void HttpSession::SetDeadline(Duration timeout) {
-  this->deadline = std::chrono::steady_clock::now() + timeout;
-  if (!this->timer_set || this->timer.expiry() > this->deadline) {
-    this->SetTimer();
-  }
-}
-
-void HttpSession::SetTimer() {
-  this->timer_set = true;
-  this->timer.expires_at(this->deadline);
-  this->timer.async_wait(
-      [weak = this->weak_from_this()](const ErrorCode& error) {
-        if (const auto self = weak.lock(); self && !error) {
-          self->OnTimer();
-        }
-      });
+bool HttpSession::has_deadline() const {
+  // The handler has its own deadline.
+  return this->state != State::kHandling && this->state != State::kClosed;
 }
 
-void HttpSession::OnTimer() {
-  this->timer_set = false;
-  if (this->state == State::kHandling || this->state == State::kClosed) {
-    // The handler has its own deadline.
-    return;
-  }
-  if (std::chrono::steady_clock::now() < this->deadline) {
-    this->SetTimer();
-  } else if (this->state == State::kReading) {
+void HttpSession::OnDeadline() {
+  if (this->state == State::kReading) {
     this->Refuse(kHttpTimeout, Reason::kBadRequest,
                  "the request did not arrive in time");
   } else {
@@ -286,7 +266,7 @@
 
 void HttpSession::Close() {
   this->state = State::kClosed;
-  this->timer.cancel();
+  this->timer.Cancel();
   ErrorCode ignored;
   this->socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
   this->socket.close(ignored);
--- a/src/net/http/http_session.h
+++ b/src/net/http/http_session.h
@@ -3,15 +3,14 @@
 
 #include <atomic>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
-#include <chrono>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
 
+#include "src/net/http/deadline_timer.h"
 #include "src/net/http/http_server.h"
 
 namespace marigold::detail {
@@ -51,6 +50,11 @@
   // after the server's `draining` was set.
   void Drain();
 
+  // What `DeadlineTimer` calls.
+
+  bool has_deadline() const;
+  void OnDeadline();
+
  private:
   enum class State {
     kIdle,
@@ -83,9 +87,6 @@
   void Write(const HttpResponse& response, bool keep_alive);
   void OnWritten(const ErrorCode& error, bool keep_alive);
   void Linger();
-  void SetDeadline(Duration timeout);
-  void SetTimer();
-  void OnTimer();
   bool has_bytes_to_read();
   void Close();
   // Does so once; a responder may keep the closed session alive.
@@ -94,9 +95,7 @@
   boost::asio::ip::tcp::socket socket;
   std::shared_ptr<HttpServerShared> shared;
   std::function<void(HttpSession*)> closed;
-  boost::asio::steady_timer timer;
-  std::chrono::steady_clock::time_point deadline;
-  bool timer_set = false;
+  DeadlineTimer timer;
   State state = State::kIdle;
   boost::beast::flat_buffer buffer;
   std::optional<Parser> parser;
