Log a lost leader where the group forgets it

Cause: the driver kept its own copy of the leader to see that it was lost, and copied it in each batch, while consensus logs every other change of the leader. Change: consensus logs leader_lost; the copy and its method are gone.

--- a/src/net/control/control_driver.cc
+++ b/src/net/control/control_driver.cc
@@ -163,7 +163,6 @@
   this->SendMessages();
   this->FlushReplica();
   this->SendMessages();
-  this->LogLostLeader();
   this->ApplyCommitted();
   this->FailLostEntries();
   this->CompactIfDue();
@@ -193,17 +192,6 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(took).count()}});
 }
 
-void ControlDriver::Impl::LogLostLeader() {
-  const std::optional<DiskId> leader = this->replica->leader();
-  if (this->last_leader && !leader) {
-    LogEvent(LogLevel::kWarning, "leader_lost",
-             {{"disk", this->disk.value()},
-              {"leader", this->last_leader->value()},
-              {"term", this->replica->term().value()}});
-  }
-  this->last_leader = leader;
-}
-
 void ControlDriver::Impl::TryFailedStorage(MonotonicTime now) {
   if (!this->replica || !this->replica->storage_failed() ||
       !this->on_storage_usable || now < this->storage_try_at) {
--- a/src/net/control/detail/control_driver_impl.h
+++ b/src/net/control/detail/control_driver_impl.h
@@ -107,7 +107,6 @@
   // Writes what is pending and reports syncs that hold up elections.
   void FlushReplica();
   void LogIfSlow(std::string_view what, Duration took);
-  void LogLostLeader();
   void Introduce(MonotonicTime now);
   void LearnIntroductionTarget(const Endpoint& endpoint);
   bool HasToIntroduce() const;
@@ -148,7 +147,6 @@
 
   RankedMutex<LockRank::kControlDriver> mutex;
   Storage storage;
-  std::optional<DiskId> last_leader;
   DiskId disk;
   SeededRandom random;
   // Entries beyond the setting before the next snapshot; differs by member.
--- a/src/replication/detail/consensus_roles.cc
+++ b/src/replication/detail/consensus_roles.cc
@@ -13,6 +13,12 @@
     this->election.Rearm(this->state);
   }
   this->state.role = ReplicaRole::kFollower;
+  if (this->state.leader) {
+    LogEvent(LogLevel::kWarning, "leader_lost",
+             {{"disk", this->state.disk.value()},
+              {"leader", this->state.leader->value()},
+              {"term", this->state.hard.term.value()}});
+  }
   this->state.leader.reset();
 }
 
