--- a/src/net/control/detail/control_driver_impl.h
+++ b/src/net/control/detail/control_driver_impl.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <string_view>
 #include <variant>
 #include <vector>
 
