Keep an HTTP connection whose response outruns the write's completion

Cause: an HTTP client session took a response for an early one, and closed the connection after it, when the read's completion ran before that of async_write. With two worker threads that happens once in a few hundred to a few thousand exchanges. In life it costs a new connection to the backend server.

Change: the session writes with write_some and waits for the socket to take more, so that the last byte and the note of it are one step.

--- a/src/net/http/http_client_session.cc
+++ b/src/net/http/http_client_session.cc
@@ -4,7 +4,6 @@
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/strand.hpp>
-#include <boost/asio/write.hpp>
 #include <utility>
 
 namespace marigold::detail {
@@ -68,6 +67,7 @@
   }
   ErrorCode ignored;
   this->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+  this->socket.non_blocking(true, ignored);
   this->MakeIdle();
   this->Read();
   done(true);
@@ -91,23 +91,35 @@
   this->parser->eager(true);
   this->outgoing = EncodeRequest(method, path, this->host, body);
   this->timer.Set(*this, timeout);
-  this->writing = true;
-  asio::async_write(this->socket, asio::buffer(this->outgoing),
-                    [self = this->shared_from_this()](const ErrorCode& error,
-                                                      std::size_t size) {
-                      self->OnWritten(error, size);
-                    });
+  this->written = 0;
+  this->Write();
 }
 
-void HttpClientSession::OnWritten(const ErrorCode& error, std::size_t size) {
-  this->writing = false;
+void HttpClientSession::Write() {
+  ErrorCode error;
+  while (!this->is_written() && !error) {
+    this->written += this->socket.write_some(
+        asio::buffer(this->outgoing) + this->written, error);
+  }
+  if (error == asio::error::would_block) {
+    this->socket.async_wait(
+        asio::ip::tcp::socket::wait_write,
+        [self = this->shared_from_this()](const ErrorCode& failure) {
+          self->OnWritable(failure);
+        });
+  } else if (error) {
+    this->EndLost();
+  }
+}
+
+void HttpClientSession::OnWritable(const ErrorCode& error) {
   if (this->state != State::kBusy) {
     return;
   }
   if (error) {
-    this->End(size == 0 ? ExchangeFailure::kNotSent : ExchangeFailure::kLost);
-  } else if (this->read_ended) {
-    this->End(ExchangeFailure::kLost);
+    this->EndLost();
+  } else {
+    this->Write();
   }
 }
 
@@ -148,9 +160,7 @@
       return;
     }
   }
-  if (!this->writing) {
-    this->End(ExchangeFailure::kLost);
-  }
+  this->EndLost();
 }
 
 void HttpClientSession::Parse() {
@@ -176,7 +186,7 @@
 void HttpClientSession::Complete() {
   // Bytes beyond the response belong to no request.
   const bool clean = this->parser->get().keep_alive() && !this->read_ended &&
-                     !this->writing && this->buffer.size() == 0;
+                     this->is_written() && this->buffer.size() == 0;
   http::response<http::string_body> message = this->parser->release();
   HttpResponse response;
   response.status = static_cast<int>(message.result_int());
@@ -210,6 +220,11 @@
   }
 }
 
+void HttpClientSession::EndLost() {
+  this->End(this->written == 0 ? ExchangeFailure::kNotSent
+                               : ExchangeFailure::kLost);
+}
+
 void HttpClientSession::End(ExchangeFailure failure) {
   this->Shut();
   this->Report(failure);
--- a/src/net/http/http_client_session.h
+++ b/src/net/http/http_client_session.h
@@ -56,14 +56,20 @@
 
   void OnConnected(const ErrorCode& error,
                    const std::function<void(bool)>& done);
-  void OnWritten(const ErrorCode& error, std::size_t size);
+  // Hands the socket what it takes of the request. Not `async_write`: its
+  // completion may run after that of the read, so that a whole response would
+  // be taken for one to a request that is still being sent.
+  void Write();
+  void OnWritable(const ErrorCode& error);
+  bool is_written() const { return this->written == this->outgoing.size(); }
   void Read();
   void OnRead(const ErrorCode& error, std::size_t size);
-  // The write's own result says whether a byte was sent, so it is awaited.
   void OnReadEnded(const ErrorCode& error);
   void Parse();
   void Complete();
   void MakeIdle();
+  // The connection ended before the response did.
+  void EndLost();
   void End(ExchangeFailure failure);
   void Shut();
   void Report(ExchangeOutcome outcome);
@@ -74,11 +80,12 @@
   DeadlineTimer timer;
   boost::beast::flat_buffer buffer;
   std::string outgoing;
+  // Bytes of `outgoing` that the socket took.
+  std::size_t written = 0;
   std::optional<Parser> parser;
   std::function<void(ExchangeOutcome)> on_outcome;
   std::function<void()> on_idle_closed;
   State state = State::kNew;
-  bool writing = false;
   bool read_ended = false;
   std::atomic<bool> reusable = false;
   std::atomic<bool> refused = false;
