Clear the count of lost ballots when a member wins

Cause: a member counts the votes it asked for and backs off after the third, but cleared the count only when it followed another leader. A member that kept winning waited up to 8 s between its ballots after its sixth loss of quorum, although every ballot had been counted in time.

Change: winning clears the count, as following a leader does.

--- a/src/replication/detail/consensus_roles.cc
+++ b/src/replication/detail/consensus_roles.cc
@@ -51,6 +51,7 @@
             {"term", this->state.hard.term.value()}});
   const MonotonicTime elected_from = this->election.started_at();
   this->election.Stop();
+  this->election.OnLeaderKnown();
   this->state.role = ReplicaRole::kLeader;
   this->state.leader = this->state.disk;
   this->leadership.Start(this->state, elected_from);
--- a/tests/replication_test.cc
+++ b/tests/replication_test.cc
@@ -76,6 +76,15 @@
     {milliseconds(500), 5},
 };
 
+struct ReelectionRow {
+  std::size_t voters;
+  std::size_t losses;
+};
+
+// Guards against a member that waits longer before each ballot because of
+// ballots that it won.
+const ReelectionRow kReelectionRows[] = {{2, 10}, {3, 10}, {5, 10}};
+
 }  // namespace
 
 ParameterizedTestParameters(Replication, ElectsALeaderOnSlowDisks) {
@@ -104,6 +113,38 @@
           std::chrono::duration_cast<milliseconds>(row.sync_time).count()));
 }
 
+ParameterizedTestParameters(Replication, ReelectsTheSameLeaderAgainAndAgain) {
+  return RowIndices(kReelectionRows);
+}
+
+ParameterizedTest(std::size_t* index,
+                  Replication,
+                  ReelectsTheSameLeaderAgainAndAgain) {
+  const ReelectionRow& row = kReelectionRows[*index];
+  TestGroup group(row.voters);
+  const std::string leader = group.Elect();
+  for (std::size_t i = 0; i < row.losses; ++i) {
+    // Only the old leader has this entry, so that nobody else can be elected.
+    std::vector<std::string> followers;
+    for (std::size_t j = 0; j + 1 < row.voters; ++j) {
+      followers.push_back(group.Follower(j));
+    }
+    for (const std::string& follower : followers) {
+      group.Crash(follower);
+    }
+    group.Propose(leader, "entry " + std::to_string(i));
+    // Long enough for a ballot without voters that answer.
+    group.Run(seconds(2));
+    for (const std::string& follower : followers) {
+      group.Start(follower);
+    }
+    const bool reelected =
+        group.RunUntil([&] { return group.Leader() == leader; }, seconds(2));
+    cr_assert(reelected, "%zu voters: no leader in 2 s after loss %zu",
+              row.voters, i + 1);
+  }
+}
+
 ParameterizedTestParameters(Replication, CommitsWithAMajorityOfVoters) {
   return RowIndices(kAvailabilityRows);
 }
