Start a control VM of the soak 3 s after it died in a write

Cause: the torn-write fault started the VM 3 s after the fault was armed.

Change: the VM starts 3 s after the write at which it died.

--- a/tools/soak/control_vm.cc
+++ b/tools/soak/control_vm.cc
@@ -52,10 +52,8 @@
     return SoakReplica::Open(settings, *this->disk, this->shared.random,
                              this->shared.events.now());
   });
-  if (const auto* error = std::get_if<AnyError>(&opened)) {
-    // A crash that was armed for this start; the next start tries again.
-    (void)error;
-    this->Crash();
+  if (std::holds_alternative<AnyError>(opened)) {
+    this->CrashInWrite();
     return;
   }
   ++this->process;
@@ -75,10 +73,17 @@
   this->disk->LoseUnsynced(this->shared.random);
 }
 
-void ControlVm::CrashAfterWrites(std::uint64_t writes) {
+void ControlVm::CrashAfterWrites(std::uint64_t writes, Duration downtime) {
+  this->downtime_after_write = downtime;
   this->disk->CrashAfter(writes);
 }
 
+void ControlVm::CrashInWrite() {
+  this->Crash();
+  this->shared.events.After(this->downtime_after_write,
+                            [this] { this->Start(); });
+}
+
 void ControlVm::Freeze(MonotonicTime until) {
   this->frozen_until = std::max(this->frozen_until, until);
 }
@@ -188,7 +193,7 @@
   this->flush_scheduled = false;
   this->replica->Flush(this->shared.events.now());
   if (this->disk->has_crashed()) {
-    this->Crash();
+    this->CrashInWrite();
     return;
   }
   this->SendMessages();
@@ -272,7 +277,7 @@
   this->applied_since_snapshot = 0;
   this->replica->Compact(this->state->applied(), this->state->Serialise());
   if (this->disk->has_crashed()) {
-    this->Crash();
+    this->CrashInWrite();
   }
 }
 
--- a/tools/soak/control_vm.h
+++ b/tools/soak/control_vm.h
@@ -54,8 +54,9 @@
   void Start();
   // Ends the process at once. Unsynced writes may be lost.
   void Crash();
-  // Lets the `writes`-th write from now end the process.
-  void CrashAfterWrites(std::uint64_t writes);
+  // Lets the `writes`-th write from now end the process, which starts again
+  // `downtime` after that.
+  void CrashAfterWrites(std::uint64_t writes, Duration downtime);
   void DisarmCrash() { this->disk->DisarmCrash(); }
   // Inputs wait until `until` and are then handled late.
   void Freeze(MonotonicTime until);
@@ -105,6 +106,7 @@
   void ScheduleTick();
   void ScheduleFlush();
   void Flush();
+  void CrashInWrite();
   void SendMessages();
   void ApplyCommitted();
   void ApplyEntry(const LogEntry& entry);
@@ -123,6 +125,7 @@
   std::map<LogIndex, Waiting> waiting;
   Send send;
   MonotonicTime frozen_until;
+  Duration downtime_after_write{};
   Duration wall_offset{};
   // Counts process starts, so that events of an ended process are dropped.
   std::uint64_t process = 0;
