Tell a restored disk again of the starts that it repeats

Cause: a member that was refused as restored, and whose disk went back to a copy of that refused state, repeated a start number that the leader already knew with another nonce.

Change: whoever ignores a message of such a start sends its boot records again with the next message; the member then counts a start beyond the known one.

--- a/src/replication/detail/consensus_boots.cc
+++ b/src/replication/detail/consensus_boots.cc
@@ -10,6 +10,9 @@
   const BootRecord* known = this->state.boots.Find(message.from);
   const bool is_notice = std::holds_alternative<BootNotice>(message.body);
   if (known != nullptr && *known != start && known->count >= start.count) {
+    // A disk that was restored may repeat a start that it has forgotten. The
+    // records go out again with the next message, so that it learns of it.
+    this->state.peer_digests.erase(message.from);
     if (is_notice) {
       this->AnswerNotice(message, false);
     }
--- a/tests/disk_identity_test.cc
+++ b/tests/disk_identity_test.cc
@@ -275,4 +275,30 @@
             refused, on_probation);
 }
 
+// Guards against a refused disk that goes back to a copy of its refused state
+// and then stays behind the leader that it hears.
+Test(DiskIdentity, DiskRestoredAfterItsRefusalCatchesUp) {
+  TestGroup group(3);
+  group.Elect();
+  const std::string restored = group.Follower();
+  const StoredState oldest = group.At(restored).storage.durable;
+  group.Commit("before");
+  group.Restore(restored, oldest);
+  group.Run(seconds(2));
+  const StoredState refused = group.At(restored).storage.durable;
+  cr_assert(refused.hard_state.refused, "expected a refused disk");
+  group.Commit("between");
+  group.Crash(restored);
+  group.Start(restored);
+  group.Run(seconds(2));
+  group.Commit("after");
+
+  group.Restore(restored, refused);
+  const bool caught_up =
+      group.RunUntil([&] { return group.Has(restored, "after"); }, seconds(5));
+
+  cr_assert(caught_up, "expected all entries within 5 s, actual last index %lu",
+            group.At(restored).applied_index.value());
+}
+
 }  // namespace marigold
--- a/tools/soak/control_faults.cc
+++ b/tools/soak/control_faults.cc
@@ -117,8 +117,7 @@
 
 void CrashInWrite(ControlWorld& world) {
   const std::size_t index = world.RandomVoter();
-  Control(world, index)
-      .CrashAfterWrites(world.random().Below(40), seconds(3));
+  Control(world, index).CrashAfterWrites(world.random().Below(40), seconds(3));
 }
 
 // All control VMs lose power at the same moment.
