Elect at once where the whole group has started anew

Cause: a start counts as hearing a leader, since an earlier start may have granted it a lease, so that no voter votes within an election timeout.

Change: replies to a start say whether the sender leads or knows a leader. A voter whose start every other voter has answered without one may vote, and they stand in slots of 1/16 of the timeout, in the order of their disks. A restarted leader is no longer taken for the leader. docs/decisions/disk-identity.md says why no lease can be broken.

--- a/src/replication/detail/boot_guard.cc
+++ b/src/replication/detail/boot_guard.cc
@@ -42,14 +42,18 @@
 
 std::optional<MonotonicTime> BootGuard::next_round(
     const NodeState& state) const {
-  const bool asks = state.probationary && !state.hard.refused &&
-                    state.log.Mentions(state.disk);
-  if (!asks && this->floors.empty()) {
+  if (!this->AsksVoters(state) && this->floors.empty()) {
     return std::nullopt;
   }
   return this->round_due;
 }
 
+bool BootGuard::AsksVoters(const NodeState& state) const {
+  const bool waits = this->hold_lasts && !state.leader;
+  return (state.probationary || waits) && !state.hard.refused &&
+         state.log.Mentions(state.disk);
+}
+
 void BootGuard::Tick(NodeState& state) {
   const auto due = this->next_round(state);
   if (!due || state.now < *due) {
@@ -57,7 +61,7 @@
   }
   this->round_due = state.now + state.settings.heartbeat_interval;
   this->CountRound(state);
-  if (state.probationary) {
+  if (this->AsksVoters(state)) {
     this->AskVoters(state);
     this->Conclude(state);
   }
@@ -79,6 +83,9 @@
     return expired || floor.silent_rounds > lost_after ||
            (state.leader && floor.last <= last);
   });
+  if (!state.probationary && !state.hears_leader()) {
+    this->hold_lasts = false;
+  }
 }
 
 void BootGuard::AskVoters(NodeState& state) const {
@@ -107,10 +114,26 @@
 void BootGuard::OnReply(NodeState& state,
                         const ReplicaMessage& message,
                         const BootReply& reply) {
-  if (!state.probationary || state.hard.refused ||
-      reply.boot_nonce != state.boot.nonce) {
+  if (state.hard.refused || reply.boot_nonce != state.boot.nonce) {
     return;
   }
+  if (state.probationary) {
+    this->CountConfirmation(state, message, reply);
+  }
+  if (reply.accepted) {
+    this->CountLeaderless(state, message.from, reply);
+  }
+}
+
+void BootGuard::OnNotice(NodeState& state, const DiskId& disk) const {
+  if (this->AsksVoters(state) && !this->leaderless.contains(disk)) {
+    state.Send(disk, BootNotice{});
+  }
+}
+
+void BootGuard::CountConfirmation(NodeState& state,
+                                  const ReplicaMessage& message,
+                                  const BootReply& reply) {
   if (!reply.accepted) {
     this->Refuse(state, reply.known_boot_count);
     return;
@@ -134,6 +157,7 @@
   // A member that its log removes may still be needed to commit the removal.
   if (!state.probationary || state.hard.refused ||
       !state.log.Mentions(state.disk)) {
+    this->EndHold(state);
     return;
   }
   const std::vector<DiskId> voters = VotersBut(membership, state.disk);
@@ -178,6 +202,39 @@
             {"boot_count", state.boot.count},
             {"confirmations", voters.size()},
             {"term", state.hard.term.value()}});
+  this->EndHold(state);
+}
+
+void BootGuard::CountLeaderless(NodeState& state,
+                                const DiskId& voter,
+                                const BootReply& reply) {
+  const LogPosition& known = state.log.membership().position;
+  if (!reply.leaderless || reply.membership_position > known) {
+    this->leaderless.erase(voter);
+    return;
+  }
+  this->leaderless.insert(voter);
+  this->EndHold(state);
+}
+
+void BootGuard::EndHold(NodeState& state) {
+  if (!this->hold_lasts || state.probationary || state.leader) {
+    return;
+  }
+  std::vector<DiskId> voters = VotersBut(state.membership(), state.disk);
+  if (const Membership* previous = state.log.previous_membership()) {
+    const std::vector<DiskId> earlier = VotersBut(*previous, state.disk);
+    voters.insert(voters.end(), earlier.begin(), earlier.end());
+  }
+  const bool nobody_leads =
+      std::all_of(voters.begin(), voters.end(), [this](const DiskId& disk) {
+        return this->leaderless.contains(disk) || this->gone.contains(disk);
+      });
+  if (nobody_leads) {
+    state.leader_contact = MonotonicTime();
+    this->hold_lasts = false;
+    this->hold_ended = true;
+  }
 }
 
 void BootGuard::OnDiskGone(NodeState& state, const DiskId& disk) {
--- a/src/replication/detail/boot_guard.h
+++ b/src/replication/detail/boot_guard.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <utility>
 #include <vector>
 
 #include "src/replication/detail/node_state.h"
@@ -16,6 +17,9 @@
 // that it once promised. docs/decisions/disk-identity.md gives the quorum and
 // the reasons. Waits are counted in rounds, one a heartbeat interval, so that a
 // process that was stopped does not skip them.
+//
+// A start also counts as hearing from a leader, and so votes for nobody for an
+// election timeout. The guard ends that wait where no voter leads.
 class BootGuard {
  public:
   explicit BootGuard(const NodeState& state);
@@ -29,6 +33,8 @@
   void OnReply(NodeState& state,
                const ReplicaMessage& message,
                const BootReply& reply);
+  // A voter's start asked for a confirmation, and can answer now.
+  void OnNotice(NodeState& state, const DiskId& disk) const;
   // The disk is lost for good: its VM has come back with another one. Nobody
   // waits for its confirmation.
   void OnDiskGone(NodeState& state, const DiskId& disk);
@@ -38,6 +44,8 @@
   // earlier. The disk never votes again; it goes on as a follower under a count
   // that the peers accept.
   void Refuse(NodeState& state, std::uint64_t known_count);
+  // True once after this start may vote although it heard no leader give up.
+  bool TakeEndedHold() { return std::exchange(this->hold_ended, false); }
 
   // Queries.
 
@@ -59,11 +67,20 @@
     std::uint32_t silent_rounds = 0;
   };
 
+  bool AsksVoters(const NodeState& state) const;
   void AskVoters(NodeState& state) const;
   void CountRound(NodeState& state);
   // The latest that this member or a confirming voter has in its log.
   const Membership& LatestMembership(const NodeState& state) const;
+  void CountConfirmation(NodeState& state,
+                         const ReplicaMessage& message,
+                         const BootReply& reply);
   void Confirm(NodeState& state, const std::vector<DiskId>& voters);
+  void CountLeaderless(NodeState& state,
+                       const DiskId& voter,
+                       const BootReply& reply);
+  // Ends the hold if no voter can have a lease.
+  void EndHold(NodeState& state);
 
   // Of the disk as it was opened.
   LogPosition opened_last;
@@ -73,6 +90,12 @@
   std::map<DiskId, Confirmation> confirmations;
   std::map<DiskId, Floor> floors;
   std::set<DiskId> gone;
+  // Voters that know this start and, when they answered, no leader. One that is
+  // elected after that does not count what earlier starts of this disk said.
+  std::set<DiskId> leaderless;
+  // False once the hold has ended.
+  bool hold_lasts = true;
+  bool hold_ended = false;
 };
 
 }  // namespace marigold::detail
--- a/src/replication/detail/consensus.cc
+++ b/src/replication/detail/consensus.cc
@@ -60,6 +60,7 @@
     : state(std::move(node_state)), guard(this->state) {
   this->election.Rearm(this->state);
   this->guard.Conclude(this->state);
+  this->SettleGuard(this->state.hard.term);
 }
 
 void Consensus::Observe(MonotonicTime now) {
--- a/src/replication/detail/consensus_boots.cc
+++ b/src/replication/detail/consensus_boots.cc
@@ -48,6 +48,9 @@
     this->state.hard_dirty = true;
     this->leadership.OnNewStart(record.disk);
     this->election.OnNewStart(record.disk);
+    if (this->state.leader == record.disk) {
+      this->BecomeFollower();
+    }
   }
 }
 
@@ -66,6 +69,8 @@
   reply.acknowledged = {
       this->state.hard.term,
       this->leadership.AcknowledgedByEarlierStarts(message.from)};
+  reply.leaderless =
+      this->state.role != ReplicaRole::kLeader && !this->state.leader;
   this->state.Send(message.from, std::move(reply));
 }
 
@@ -75,6 +80,9 @@
       (this->state.probationary && leads_or_stands)) {
     this->BecomeFollower();
   }
+  if (this->guard.TakeEndedHold()) {
+    this->election.StandSoon(this->state);
+  }
 }
 
 }  // namespace marigold::detail
--- a/src/replication/detail/consensus_messages.cc
+++ b/src/replication/detail/consensus_messages.cc
@@ -137,6 +137,7 @@
 void Consensus::On(const ReplicaMessage& message,
                    const BootNotice& /*notice*/) {
   this->AnswerNotice(message, true);
+  this->guard.OnNotice(this->state, message.from);
 }
 
 void Consensus::On(const ReplicaMessage& message, const BootReply& reply) {
--- a/src/replication/detail/election.cc
+++ b/src/replication/detail/election.cc
@@ -9,6 +9,10 @@
 constexpr std::uint32_t kShortBallots = 3;
 constexpr std::uint32_t kMostDoublings = 4;
 
+// The part of an election timeout in which the other voters learn that they may
+// vote, and in which a ballot ends.
+constexpr int kStandSlotParts = 16;
+
 // A time from `low` up to `low` and `span`.
 Duration Spread(NodeState& state, Duration low, Duration span) {
   const auto width = std::max<std::int64_t>(span.count(), 1);
@@ -24,6 +28,16 @@
   this->due = state.now + Spread(state, timeout, timeout);
 }
 
+void Election::StandSoon(NodeState& state) {
+  const std::vector<Member>& members = state.membership().members;
+  const auto before =
+      std::count_if(members.begin(), members.end(), [&](const Member& member) {
+        return member.role == MemberRole::kVoter && member.disk < state.disk;
+      });
+  const Duration slot = state.settings.election_timeout / kStandSlotParts;
+  this->due = state.now + slot * (1 + before);
+}
+
 void Election::Stop() {
   this->step = Phase::kNone;
   this->granted.clear();
--- a/src/replication/detail/election.h
+++ b/src/replication/detail/election.h
@@ -18,6 +18,9 @@
 
   // Waits for a leader anew.
   void Rearm(NodeState& state);
+  // Stands before long, each voter in a slot of its own: all are about to grant
+  // a vote.
+  void StandSoon(NodeState& state);
   // Ends the ballot.
   void Stop();
   // Some member leads; ballots begin anew with the shortest wait.
--- a/src/replication/messages.h
+++ b/src/replication/messages.h
@@ -139,12 +139,14 @@
   // The last index that earlier starts of the receiver's disk have acknowledged
   // to the sender as the leader of that term; index 0 for none.
   LogPosition acknowledged;
+  // True if the sender neither leads nor knows a leader.
+  bool leaderless = false;
 
   template <class Archive>
   void serialize(Archive& archive) {
     archive(this->known_boot_count, this->accepted, this->boot_nonce,
             this->last, this->membership, this->membership_position,
-            this->acknowledged);
+            this->acknowledged, this->leaderless);
   }
 };
 
