Tell the members at once of a leader's first commit

Cause: members learn of a commit with the next heartbeat, up to 50 ms later. Entry VMs that have just started wait for members that know of the first one.

Change: the leader sends heartbeats when the first entry of its term commits.

--- a/src/replication/detail/leadership.cc
+++ b/src/replication/detail/leadership.cc
@@ -93,7 +93,12 @@
   // An entry of an earlier term may still be replaced by another leader, even
   // on a quorum; it commits with the first entry of this term.
   if (index > state.commit && state.log.TermAt(index) == state.hard.term) {
+    const bool is_first = !this->HasCommitted(state);
     state.AdvanceCommit(index);
+    if (is_first) {
+      // Entry VMs that have just started wait for members that know it.
+      this->Heartbeat(state);
+    }
   }
   this->SettleMembership(state);
 }
