Read the platform's list at the start of every control VM

Cause: only a leader with a quorum read the platform's list, at a tick of 100 ms.

Change: a control VM that knows no list reads it, so that the first leader has one; only the leader sends its list to the others, as before.

--- a/src/policy/listing_turn.h
+++ b/src/policy/listing_turn.h
@@ -8,8 +8,8 @@
 namespace marigold {
 
 // Who reads the platform's list and when: calls are paid for, so the control
-// group's leader reads it for everybody, and an entry VM only while it hears of
-// no fresh list.
+// group's leader reads it for everybody, another control VM only if it knows
+// none, and an entry VM only while it hears of no fresh list.
 struct ListingTurn {
   // A server that drains gets new work for at most this, a read and the
   // distribution.
@@ -18,8 +18,13 @@
   static constexpr Duration kStaleAfter = std::chrono::milliseconds(2300);
   static constexpr Duration kEntryInterval = std::chrono::milliseconds(1500);
 
-  static bool IsLeaderDue(MonotonicTime now, MonotonicTime last_attempt) {
-    return now - last_attempt >= kLeaderInterval;
+  // A control VM that knows no list does not wait for the leader's: after a
+  // start of the whole group entry VMs can serve as soon as there is a leader.
+  static bool IsControlDue(MonotonicTime now,
+                           MonotonicTime last_attempt,
+                           bool leads,
+                           std::optional<MonotonicTime> observed_at) {
+    return (leads || !observed_at) && now - last_attempt >= kLeaderInterval;
   }
 
   // `delay` spreads the entry VMs.
--- /dev/null
+++ b/tests/listing_turn_test.cc
@@ -0,0 +1,59 @@
+#include "src/policy/listing_turn.h"
+
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+
+#include <optional>
+
+#include "tests/row_indices.h"
+
+namespace marigold {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr MonotonicTime kNow = MonotonicTime(seconds(1000));
+
+struct ControlRow {
+  const char* name;
+  bool leads;
+  std::optional<Duration> list_age;
+  Duration since_attempt;
+  bool due;
+};
+
+// Guards against entry VMs that wait for a leader's first read after a start of
+// the whole group, and against calls that nobody needs.
+const ControlRow kControlRows[] = {
+    {"leader without a list", true, std::nullopt, seconds(1000), true},
+    {"leader with a fresh list", true, milliseconds(10), seconds(1), true},
+    {"leader that has just read", true, milliseconds(10), milliseconds(999),
+     false},
+    {"follower without a list", false, std::nullopt, seconds(1000), true},
+    {"follower that has just tried", false, std::nullopt, milliseconds(999),
+     false},
+    {"follower with a list", false, milliseconds(10), seconds(1000), false},
+    {"follower with an old list", false, seconds(60), seconds(1000), false},
+};
+
+}  // namespace
+
+ParameterizedTestParameters(ListingTurn, ControlVmReadsWhenDue) {
+  return RowIndices(kControlRows);
+}
+
+ParameterizedTest(std::size_t* index, ListingTurn, ControlVmReadsWhenDue) {
+  const ControlRow& row = kControlRows[*index];
+  std::optional<MonotonicTime> observed_at;
+  if (row.list_age) {
+    observed_at = kNow - *row.list_age;
+  }
+  const bool actual = ListingTurn::IsControlDue(kNow, kNow - row.since_attempt,
+                                                row.leads, observed_at);
+  cr_assert_eq(actual, row.due, "%s: expected %d, actual %d", row.name, row.due,
+               actual);
+}
+
+}  // namespace marigold
