Give up a connect to a control VM once it is heard

Cause: a control VM without power does not answer, so that a connect to it hangs for 200 ms, and the next one waits for its time.

Change: a message from a peer ends a connect to it that began more than 20 ms before, and the wait for the next one.

--- a/src/net/control/control_driver_inputs.cc
+++ b/src/net/control/control_driver_inputs.cc
@@ -54,6 +54,7 @@
   const bool is_known = this->replica->membership().Find(from) != nullptr;
   if (is_known || this->heard_addresses.size() < kMostMembers) {
     this->heard_addresses[from] = peer.reply_to;
+    this->links->OnHeard(peer.reply_to);
   }
   this->replica->Step(now, peer.message);
 }
--- a/src/net/control/peer_links.cc
+++ b/src/net/control/peer_links.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -18,8 +19,14 @@
 constexpr Duration kShortestBackoff = std::chrono::milliseconds(20);
 constexpr Duration kLongestBackoff = std::chrono::milliseconds(500);
 
+// A connect that takes longer began while the peer was down or is on a link
+// that loses packets.
+constexpr Duration kUsualConnect = std::chrono::milliseconds(20);
+
 struct Link {
   std::shared_ptr<FramedConnection> connection;
+  // Nothing once it is connected.
+  std::optional<MonotonicTime> connecting_since;
   // No connection is tried before this.
   MonotonicTime retry_at;
   Duration backoff = kShortestBackoff;
@@ -43,17 +50,20 @@
     if (!link.connection && !this->is_closed &&
         this->clock.Now() >= link.retry_at) {
       link.connection = FramedConnection::Create(this->pool, this->limits);
-      link.connection->Connect(peer, this->HandlersOf(peer));
+      link.connecting_since = this->clock.Now();
+      link.connection->Connect(peer,
+                               this->HandlersOf(peer, link.connection.get()));
     }
     return link.connection;
   }
 
-  FramedHandlers HandlersOf(const Endpoint& peer) {
+  // `connection` is only compared: the link may have another one by then.
+  FramedHandlers HandlersOf(const Endpoint& peer,
+                            const FramedConnection* connection) {
     FramedHandlers handlers;
-    handlers.on_open = [weak = this->weak_from_this(), peer] {
+    handlers.on_open = [weak = this->weak_from_this(), peer, connection] {
       if (const auto self = weak.lock()) {
-        const RankedLock lock(self->mutex);
-        self->links[peer].backoff = kShortestBackoff;
+        self->OnOpen(peer, connection);
       }
     };
     handlers.on_body = [weak = this->weak_from_this(), peer](std::string body) {
@@ -61,20 +71,57 @@
         self->on_body(peer, std::move(body));
       }
     };
-    handlers.on_closed = [weak = this->weak_from_this(),
-                          peer](CloseReason reason) {
+    handlers.on_closed = [weak = this->weak_from_this(), peer,
+                          connection](CloseReason reason) {
       if (const auto self = weak.lock()) {
-        self->OnClosed(peer, reason);
+        self->OnClosed(peer, connection, reason);
       }
     };
     return handlers;
   }
 
-  void OnClosed(const Endpoint& peer, CloseReason reason) {
+  void OnOpen(const Endpoint& peer, const FramedConnection* connection) {
+    const RankedLock lock(this->mutex);
+    Link& link = this->links[peer];
+    if (link.connection.get() == connection) {
+      link.backoff = kShortestBackoff;
+      link.connecting_since.reset();
+    }
+  }
+
+  void OnHeard(const Endpoint& peer) {
+    std::shared_ptr<FramedConnection> abandoned;
+    {
+      const RankedLock lock(this->mutex);
+      const auto position = this->links.find(peer);
+      if (position == this->links.end()) {
+        return;
+      }
+      Link& link = position->second;
+      const MonotonicTime now = this->clock.Now();
+      if (!link.connection) {
+        link.retry_at = now;
+      } else if (link.connecting_since &&
+                 now - *link.connecting_since > kUsualConnect) {
+        abandoned = std::exchange(link.connection, nullptr);
+        link.retry_at = now;
+      }
+    }
+    if (abandoned) {
+      abandoned->Close();
+    }
+  }
+
+  void OnClosed(const Endpoint& peer,
+                const FramedConnection* connection,
+                CloseReason reason) {
     LogEvent(LogLevel::kDebug, "peer_link_closed",
              {{"peer", ToString(peer)}, {"reason", ToString(reason)}});
     const RankedLock lock(this->mutex);
     Link& link = this->links[peer];
+    if (link.connection.get() != connection) {
+      return;
+    }
     link.connection.reset();
     const auto jitter = Duration(static_cast<Duration::rep>(
         this->random.Below(static_cast<std::uint64_t>(link.backoff.count()))));
@@ -121,4 +168,8 @@
   }
 }
 
+void PeerLinks::OnHeard(const Endpoint& peer) {
+  this->impl->OnHeard(peer);
+}
+
 }  // namespace marigold
--- a/src/net/control/peer_links.h
+++ b/src/net/control/peer_links.h
@@ -33,6 +33,11 @@
   // queue is full.
   void Send(const Endpoint& peer, std::string_view body);
 
+  // The peer has just sent a message on a connection of its own. A connect that
+  // began while it was down is given up, and the next send does not wait for
+  // the time of the next try.
+  void OnHeard(const Endpoint& peer);
+
   struct Impl;
 
  private:
--- /dev/null
+++ b/tests/peer_links_test.cc
@@ -0,0 +1,132 @@
+#include "src/net/control/peer_links.h"
+
+#include <arpa/inet.h>
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <future>
+#include <memory>
+#include <string>
+#include <thread>
+#include <variant>
+#include <vector>
+
+#include "src/net/control/framed_server.h"
+#include "tests/row_indices.h"
+
+namespace marigold {
+
+namespace {
+
+// The kernel sends an opening packet again 1 s and 3 s after the first, so that
+// a hanging connect ends by itself at neither time.
+constexpr auto kDownTime = std::chrono::milliseconds(1200);
+constexpr auto kWaitLimit = std::chrono::milliseconds(1500);
+
+sockaddr_in NameOf(const Endpoint& endpoint) {
+  sockaddr_in name{};
+  name.sin_family = AF_INET;
+  name.sin_port = htons(endpoint.port);
+  inet_pton(AF_INET, endpoint.address.c_str(), &name.sin_addr);
+  return name;
+}
+
+// A listener whose queue is full, so that connects get no answer, as from a
+// machine without power.
+class SilentListener {
+ public:
+  explicit SilentListener(const Endpoint& endpoint) {
+    const sockaddr_in name = NameOf(endpoint);
+    const auto* address = reinterpret_cast<const sockaddr*>(&name);
+    this->listener = socket(AF_INET, SOCK_STREAM, 0);
+    const int on = 1;
+    setsockopt(this->listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    bind(this->listener, address, sizeof(name));
+    listen(this->listener, 0);
+    for (int i = 0; i < kFilling; ++i) {
+      this->filling.push_back(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+      (void)connect(this->filling.back(), address, sizeof(name));
+    }
+  }
+  ~SilentListener() {
+    for (const int filler : this->filling) {
+      close(filler);
+    }
+    close(this->listener);
+  }
+
+ private:
+  static constexpr int kFilling = 4;
+
+  int listener;
+  std::vector<int> filling;
+};
+
+struct DownRow {
+  const char* name;
+  const char* address;
+  // Otherwise the peer's machine refuses connections.
+  bool is_silent;
+};
+
+// Guards against messages to a peer that is back being dropped, because a
+// connect to it hangs or the next one is due later.
+const DownRow kDownRows[] = {
+    {"connect refused", "127.0.0.38", false},
+    {"connect without an answer", "127.0.0.39", true},
+};
+
+}  // namespace
+
+ParameterizedTestParameters(PeerLinks, HeardPeerIsReachedAtOnce) {
+  return RowIndices(kDownRows);
+}
+
+ParameterizedTest(std::size_t* index, PeerLinks, HeardPeerIsReachedAtOnce) {
+  const DownRow& row = kDownRows[*index];
+  const Endpoint peer{row.address, 7178};
+  WorkerPool pool(2);
+  PeerLinks links(pool, std::chrono::seconds(10),
+                  [](const Endpoint&, const std::string&) {});
+  {
+    std::unique_ptr<SilentListener> silent;
+    if (row.is_silent) {
+      silent = std::make_unique<SilentListener>(peer);
+    }
+    // The wait between connects that are refused grows to 500 ms.
+    const auto down_until = std::chrono::steady_clock::now() + kDownTime;
+    while (std::chrono::steady_clock::now() < down_until) {
+      links.Send(peer, "lost");
+      std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+  }
+  std::promise<void> arrived;
+  auto listening = Capture<std::unique_ptr<FramedServer>>([&] {
+    return FramedServer::Listen(
+        pool, peer, {}, 10,
+        [&](const std::shared_ptr<FramedConnection>& connection) {
+          FramedHandlers handlers;
+          handlers.on_body = [&](const std::string& body) {
+            if (body == "sent") {
+              arrived.set_value();
+            }
+          };
+          handlers.on_closed = [](CloseReason) {};
+          connection->Start(std::move(handlers));
+        });
+  });
+  cr_assert(std::holds_alternative<std::unique_ptr<FramedServer>>(listening),
+            "%s: the peer does not listen", row.name);
+
+  links.OnHeard(peer);
+  links.Send(peer, "sent");
+
+  const bool actual =
+      arrived.get_future().wait_for(kWaitLimit) == std::future_status::ready;
+  cr_assert(actual, "%s: expected the message to arrive, actual none",
+            row.name);
+}
+
+}  // namespace marigold
