Move the election tests to a file of their own

Change: the tests of elections stand in election_test.cc; no test changed but for the name of its suite.

--- /dev/null
+++ b/tests/election_test.cc
@@ -0,0 +1,202 @@
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include "tests/replication_group.h"
+
+namespace marigold {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+struct SlowDiskRow {
+  Duration sync_time;
+  std::size_t voters;
+};
+
+// Guards against ballots that end before a slow disk has saved the votes, and
+// against leaders that resign before their first entry is saved.
+const SlowDiskRow kSlowDiskRows[] = {
+    {milliseconds(20), 3},  {milliseconds(100), 3}, {milliseconds(100), 5},
+    {milliseconds(300), 3}, {milliseconds(300), 5}, {milliseconds(500), 3},
+    {milliseconds(500), 5},
+};
+
+struct ReelectionRow {
+  std::size_t voters;
+  std::size_t losses;
+};
+
+// Guards against a member that waits longer before each ballot because of
+// ballots that it won.
+const ReelectionRow kReelectionRows[] = {{2, 10}, {3, 10}, {5, 10}};
+
+struct WholeRestartRow {
+  std::size_t voters;
+  // Between the starts of two members.
+  Duration stagger;
+};
+
+// Guards against a group that waits for the lease of a leader that is gone,
+// although all its members started anew.
+const WholeRestartRow kWholeRestartRows[] = {
+    {1, milliseconds(0)},   {3, milliseconds(0)}, {3, milliseconds(40)},
+    {3, milliseconds(200)}, {5, milliseconds(0)}, {5, milliseconds(90)},
+};
+
+struct LeaseRow {
+  const char* name;
+  std::size_t voters;
+  // Cuts between the leader and the restarted voter, besides those to the
+  // candidate.
+  bool restarted_hears_leader;
+  bool leader_hears_restarted;
+};
+
+// Guards against a restarted voter that elects another leader while the lease
+// that it granted before still runs.
+const LeaseRow kLeaseRows[] = {
+    {"reaches the leader", 3, true, true},
+    {"hears the leader", 3, true, false},
+    {"is heard by the leader", 3, false, true},
+    {"cut off from the leader", 3, false, false},
+    {"reaches the leader", 5, true, true},
+    {"cut off from the leader", 5, false, false},
+};
+
+std::size_t LeasesIn(TestGroup& group) {
+  std::size_t leases = 0;
+  for (const auto& [disk, node] : group.nodes) {
+    leases += node->replica && node->replica->ReadIndex(group.now) ? 1 : 0;
+  }
+  return leases;
+}
+
+}  // namespace
+
+ParameterizedTestParameters(Election, RestartedGroupElectsWithoutAHold) {
+  return RowIndices(kWholeRestartRows);
+}
+
+ParameterizedTest(std::size_t* index,
+                  Election,
+                  RestartedGroupElectsWithoutAHold) {
+  const WholeRestartRow& row = kWholeRestartRows[*index];
+  TestGroup group(row.voters);
+  group.Elect();
+  for (std::size_t i = 0; i < row.voters; ++i) {
+    group.Crash(TestGroup::Name(i));
+  }
+  for (std::size_t i = 0; i < row.voters; ++i) {
+    group.Run(row.stagger);
+    group.Start(TestGroup::Name(i));
+  }
+  const Duration limit = group.settings.election_timeout / 2;
+  const bool elected =
+      group.RunUntil([&] { return !group.Leader().empty(); }, limit);
+  cr_assert(elected, "%zu voters: no leader in half an election timeout",
+            row.voters);
+}
+
+ParameterizedTestParameters(Election, RestartedVoterKeepsTheLeaseItGranted) {
+  return RowIndices(kLeaseRows);
+}
+
+ParameterizedTest(std::size_t* index,
+                  Election,
+                  RestartedVoterKeepsTheLeaseItGranted) {
+  const LeaseRow& row = kLeaseRows[*index];
+  TestGroup group(row.voters);
+  const std::string leader = group.Elect();
+  const std::string candidate = group.Follower(0);
+  group.Cut(leader, candidate);
+  group.Cut(candidate, leader);
+  group.Run(group.settings.election_timeout * 3);
+  std::vector<std::string> others;
+  for (std::size_t i = 1; i + 1 < row.voters; ++i) {
+    others.push_back(group.Follower(i));
+  }
+  for (const std::string& restarted : others) {
+    if (!row.restarted_hears_leader) {
+      group.Cut(leader, restarted);
+    }
+    if (!row.leader_hears_restarted) {
+      group.Cut(restarted, leader);
+    }
+    group.Crash(restarted);
+    group.Start(restarted);
+  }
+  std::size_t most = 0;
+  group.RunUntil(
+      [&] {
+        most = std::max(most, LeasesIn(group));
+        return false;
+      },
+      group.settings.election_timeout * 2);
+  cr_assert_leq(most, 1, "%s: expected at most 1 lease at a time, actual %zu",
+                row.name, most);
+}
+
+ParameterizedTestParameters(Election, ElectsALeaderOnSlowDisks) {
+  return RowIndices(kSlowDiskRows);
+}
+
+ParameterizedTest(std::size_t* index, Election, ElectsALeaderOnSlowDisks) {
+  const SlowDiskRow& row = kSlowDiskRows[*index];
+  TestGroup group(row.voters);
+  group.sync_time = row.sync_time;
+
+  const bool elected = group.RunUntil(
+      [&] {
+        for (const auto& [disk, node] : group.nodes) {
+          if (!node->applied_index.value()) {
+            return false;
+          }
+        }
+        return true;
+      },
+      seconds(20));
+
+  cr_assert(
+      elected, "%zu voters with syncs of %lld ms: no entry in 20 s", row.voters,
+      static_cast<long long>(
+          std::chrono::duration_cast<milliseconds>(row.sync_time).count()));
+}
+
+ParameterizedTestParameters(Election, ElectsALeaderAgainAndAgain) {
+  return RowIndices(kReelectionRows);
+}
+
+ParameterizedTest(std::size_t* index, Election, ElectsALeaderAgainAndAgain) {
+  const ReelectionRow& row = kReelectionRows[*index];
+  TestGroup group(row.voters);
+  for (std::size_t i = 0; i < row.losses; ++i) {
+    const std::string leader = group.Elect();
+    std::vector<std::string> followers;
+    for (std::size_t j = 0; j + 1 < row.voters; ++j) {
+      followers.push_back(group.Follower(j));
+    }
+    for (const std::string& follower : followers) {
+      group.Crash(follower);
+    }
+    // Only the old leader has this entry, so that it is elected again as long
+    // as the others hear of it.
+    group.Propose(leader, "entry " + std::to_string(i));
+    // Long enough for a ballot without voters that answer.
+    group.Run(seconds(2));
+    for (const std::string& follower : followers) {
+      group.Start(follower);
+    }
+    const bool elected =
+        group.RunUntil([&] { return !group.Leader().empty(); }, seconds(2));
+    cr_assert(elected, "%zu voters: no leader in 2 s after loss %zu",
+              row.voters, i + 1);
+  }
+}
+
+}  // namespace marigold
