Disturb links in the soak of real processes

Cause: the soak killed, stopped and paused processes, but no connection of theirs was ever reset, delayed or silenced, also in one direction.

Change: marigold-relay stands before the entry VMs, the backend servers and the list; a third of the faults disturb one link for up to 1.5 s beside the others. The stand-in's list can name another port than the servers listen on.

--- a/tests/platform/platform_standin.cc
+++ b/tests/platform/platform_standin.cc
@@ -31,6 +31,8 @@
   // The first three numbers of the servers' addresses.
   std::string network = "127.52.1";
   std::string data_centre = "dc1";
+  // The list names this port, behind which a relay may stand.
+  std::int64_t listed_port = kServerPort;
   // Takes a line for each request that ran.
   std::string record = "/dev/null";
 };
@@ -115,7 +117,7 @@
           R"("Version":"v1","Capacity":4,"State":"ready",)"
           R"("ColdRemainingMs":0}})",
           entries.empty() ? "" : ",", server.id, server.service, server.address,
-          kServerPort, this->settings.data_centre);
+          this->settings.listed_port, this->settings.data_centre);
     }
     return fmt::format(
         R"({{"Instances":[{},{{"Id":"broken"}}],"NextPageToken":null}})",
@@ -196,6 +198,8 @@
                 "The first three numbers of the servers' addresses.");
   table.AddText("data-centre", settings.data_centre, "id",
                 "Data centre of the servers.");
+  table.AddNumber("listed-port", settings.listed_port, 1, 65535, "port",
+                  "Port of the servers in the list; they listen on 9000.");
   table.AddText("record", settings.record, "file", "Takes what has run.");
   const auto outcome = marigold::ParseSettings(table, argc, argv);
   if (const auto code = marigold::ReportSettings(table, outcome)) {
--- a/tests/process/fault_soak.sh
+++ b/tests/process/fault_soak.sh
@@ -1,9 +1,10 @@
 #!/usr/bin/env bash
 # A randomised soak of the platform's programs as separate processes on
 # loopback. Faults come from outside, in series and overlapping: kills, pauses,
-# graceful stops, lost data folders, changed configurations. Callers keep their
-# connections until they break and check every answer; at the end the record of
-# the backend servers shows how often each action ran.
+# graceful stops, lost data folders, changed configurations; a relay cuts,
+# silences or delays connections from callers, to backend servers and to the
+# list. Callers keep their connections until they break and check every answer;
+# at the end the record of the backend servers shows how often each action ran.
 #
 #   fault_soak.sh [SEED] [SECONDS]
 set -euo pipefail
@@ -17,6 +18,12 @@
 servers=127.$((100 + seed % 100)).$((seed / 100 % 120 * 2 + 1))
 port=7100
 seeds=$net.1:7180,$net.2:7180,$net.3:7180
+relay=$net.200:9100
+# Each link has its own address for a target: callers, list, backend servers.
+links="e1 e2 list b1 b2 b3 b4 b5 b6"
+link_targets="e1=$net.11:8090>$net.11:8080,e2=$net.12:8090>$net.12:8080"
+link_targets+=",list=$net.100:7301>$net.100:7300"
+for i in 1 2 3 4 5 6; do link_targets+=",b$i=$servers.$i:9001>$servers.$i:9000"; done
 controls="1 2 3 4"
 entries="1 2"
 declare -A pids
@@ -34,7 +41,7 @@
 start_control() {
   "$bin/marigold-platform-control" --vm="c$1" --data-centre=dc1 \
     --data-folder="$work/c$1" --operators=$net.$1:7180 --seeds=$seeds \
-    --internal-port=$port --server-list=$net.100:7300 --first-start="$2" \
+    --internal-port=$port --server-list=$net.100:7301 --first-start="$2" \
     --losses=1 >>"$work/c$1.log" 2>&1 &
   pids[c$1]=$!
   disown
@@ -42,7 +49,7 @@
 start_entry() {
   "$bin/marigold-platform-entry" --vm="e$1" --data-centre=dc1 \
     --listen=$net.1$1:8080 --admin=$net.1$1:8081 --seeds=$seeds \
-    --internal-port=$port --server-list=$net.100:7300 --stop-bound-s=4 \
+    --internal-port=$port --server-list=$net.100:7301 --stop-bound-s=4 \
     >>"$work/e$1.log" 2>&1 &
   pids[e$1]=$!
   disown
@@ -56,6 +63,21 @@
 pause() { sleep "$(printf '%d.%03d' $(($1 / 1000)) $(($1 % 1000)))"; }
 pick() { local all=($1); echo "${all[$((RANDOM % ${#all[@]}))]}"; }
 
+# Changes a link, or all without a name.
+set_link() {
+  curl -s -m 1 -o /dev/null --data "$1" "http://$relay/v1/links" ||
+    fail "the relay takes no command"
+}
+# Disturbs a link for a while, beside the faults that follow.
+disturb() {
+  local link=$1 change=$2 duration=$3
+  local extra=""
+  if [ "$change" = delay ]; then extra=",\"ms\":$((5 + RANDOM % 150))"; fi
+  set_link "{\"change\":\"$change\",\"link\":\"$link\"$extra}"
+  (pause "$duration"; set_link "{\"change\":\"resume\",\"link\":\"$link\"}") &
+  disturbances+=($!)
+}
+
 config() {
   cat <<JSON
 {"Version":$1,"Routes":[
@@ -106,7 +128,11 @@
   done
 }
 
-"$bin/platform-standin" --list=$net.100:7300 --services=s1,s2,s3 --replicas=2 \
+"$bin/marigold-relay" --control=$relay --links="$link_targets" \
+  >"$work/relay.log" 2>&1 &
+pids[relay]=$!
+disown
+"$bin/platform-standin" --list=$net.100:7300 --services=s1,s2,s3 --replicas=2 --listed-port=9001 \
   --network="$servers" --record="$work/record" >"$work/standin.log" 2>&1 &
 pids[standin]=$!
 disown
@@ -116,7 +142,7 @@
 within 6000 "a first configuration is accepted" change 3
 for i in $entries; do within 6000 "entry VM $i serves" healthy "$i"; done
 
-"$bin/platform-caller" --entries=$net.11:8080,$net.12:8080 --seed="$seed" \
+"$bin/platform-caller" --entries=$net.11:8090,$net.12:8090 --seed="$seed" \
   --seconds="$seconds" --shards=3 --actions="$work/actions" >"$work/caller.log" 2>&1 &
 caller=$!
 
@@ -124,12 +150,13 @@
 # is back, and has caught up, before the next is taken.
 deadline=$(($(date +%s%3N) + ${seconds%.*} * 1000))
 faults=""
+disturbances=()
 control_free_at=0
 while [ "$(date +%s%3N)" -lt "$deadline" ]; do
   now=$(date +%s%3N)
   entry=e$(pick "$entries")
   control=c$(pick "$controls")
-  kind=$((RANDOM % 9))
+  kind=$((RANDOM % 13))
   case $kind in
     0) faults+=" kill:$entry"; end "$entry"; pause $((RANDOM % 500)); start "$entry" ;;
     1) faults+=" stop:$entry"; kill -TERM "${pids[$entry]}" 2>/dev/null || true
@@ -151,10 +178,15 @@
       fi ;;
     6) faults+=" pause:standin"; kill -STOP "${pids[standin]}"; pause $((RANDOM % 800))
        kill -CONT "${pids[standin]}" ;;
+    7 | 8 | 9 | 10)
+      link=$(pick "$links")
+      change=$(pick "cut silence silence_forward silence_back delay")
+      faults+=" $change:$link"; disturb "$link" "$change" $((RANDOM % 1500)) ;;
     *) faults+=" change"; change 3 || true ;;
   esac
   pause $((RANDOM % 300))
 done
+for disturbance in "${disturbances[@]}"; do wait "$disturbance" || fail "a link was not resumed"; done
 wait $caller || { grep violation "$work/caller.log" | head -5; fail "an answer was wrong; faults:$faults"; }
 
 # Quiet again: everything is back, and nothing that was acknowledged is lost.
