Tell callers of a starting entry VM the time until its usual start

Cause: a process without routes asked callers to come back after 0.4 s whatever its age. Those that came within 0.1 s of its start were refused again before it served, 0.5 s after the start where all VMs get power back, and later ones waited longer than needed.

Change: the time named is what is left until 0.55 s after the start, 0.1 s at least; 0.4 s as before once that has passed.

--- a/src/net/forward/forwarder.h
+++ b/src/net/forward/forwarder.h
@@ -10,6 +10,7 @@
 
 #include "src/net/forward/forwarded_call.h"
 #include "src/policy/forward_timing.h"
+#include "src/policy/start_delay.h"
 #include "src/policy/weighted_choice.h"
 #include "src/tables/list_table.h"
 
@@ -32,7 +33,8 @@
   Forwarder(std::shared_ptr<Lane> lane, const ForwardShared& forward_shared)
       : shared(forward_shared),
         links(std::make_shared<BackendLinks>(lane)),
-        parts{lane, links, forward_shared.backends, forward_shared.counters} {}
+        parts{lane, links, forward_shared.backends, forward_shared.counters},
+        started_at(lane->Now()) {}
 
   CallerHandlers Handlers() {
     CallerHandlers handlers;
@@ -83,16 +85,15 @@
   using Call = ForwardedCall<Dialect>;
 
   static constexpr int kStatusNotFound = 404;
-  // A process that starts knows the routes within about this time.
-  static constexpr Duration kStartRetryAfter = std::chrono::milliseconds(400);
 
   void OnRequest(const SessionPtr& session, CallerRequest request) {
     const std::shared_ptr<const RouteIndex> routes =
         this->shared.knows_routes() ? this->shared.lists.Routes() : nullptr;
     if (!routes) {
+      const Duration age = this->parts.lane->Now() - this->started_at;
       this->Refuse(session, request, "routes_unknown",
                    {kStatusUnavailable, "the routes are not known yet",
-                    kStartRetryAfter});
+                    StartDelay::ComeBackAfter(age)});
       return;
     }
     const auto host = request[boost::beast::http::field::host];
@@ -171,6 +172,7 @@
   ForwardShared shared;
   std::shared_ptr<BackendLinks> links;
   CallParts parts;
+  MonotonicTime started_at;
   std::unordered_map<CallerSession*, std::shared_ptr<Call>> calls;
   std::unordered_map<RouteName, WeightedChoice> choices;
   // What callers of a route had left at most; a first attempt has that.
