--- a/src/replication/detail/boot_guard.cc
+++ b/src/replication/detail/boot_guard.cc
@@ -49,7 +49,7 @@
 }
 
 bool BootGuard::AsksVoters(const NodeState& state) const {
-  const bool waits = this->hold_lasts && !state.leader;
+  const bool waits = this->hold_lasts && !this->has_followed;
   return (state.probationary || waits) && !state.hard.refused &&
          state.log.Mentions(state.disk);
 }
@@ -125,6 +125,11 @@
   }
 }
 
+void BootGuard::OnLeaderFollowed() {
+  this->has_followed = true;
+  this->leaderless.clear();
+}
+
 void BootGuard::OnNotice(NodeState& state, const DiskId& disk) const {
   if (this->AsksVoters(state) && !this->leaderless.contains(disk)) {
     state.Send(disk, BootNotice{});
@@ -218,7 +223,7 @@
 }
 
 void BootGuard::EndHold(NodeState& state) {
-  if (!this->hold_lasts || state.probationary || state.leader) {
+  if (!this->hold_lasts || this->has_followed || state.probationary) {
     return;
   }
   std::vector<DiskId> voters = VotersBut(state.membership(), state.disk);
--- a/src/replication/detail/boot_guard.h
+++ b/src/replication/detail/boot_guard.h
@@ -33,6 +33,11 @@
   void OnReply(NodeState& state,
                const ReplicaMessage& message,
                const BootReply& reply);
+  // This start may have granted a lease itself; what voters said before it did
+  // no longer counts.
+  void OnLeaderFollowed();
+  // The process that was followed has ended, and its lease with it.
+  void OnLeaderRestarted() { this->has_followed = false; }
   // A voter's start asked for a confirmation, and can answer now.
   void OnNotice(NodeState& state, const DiskId& disk) const;
   // The disk is lost for good: its VM has come back with another one. Nobody
@@ -95,6 +100,7 @@
   std::set<DiskId> leaderless;
   // False once the hold has ended.
   bool hold_lasts = true;
+  bool has_followed = false;
   bool hold_ended = false;
 };
 
--- a/src/replication/detail/consensus_boots.cc
+++ b/src/replication/detail/consensus_boots.cc
@@ -49,6 +49,7 @@
     this->leadership.OnNewStart(record.disk);
     this->election.OnNewStart(record.disk);
     if (this->state.leader == record.disk) {
+      this->guard.OnLeaderRestarted();
       this->BecomeFollower();
     }
   }
--- a/src/replication/detail/consensus_roles.cc
+++ b/src/replication/detail/consensus_roles.cc
@@ -38,6 +38,7 @@
   this->election.Stop();
   this->has_given_way = false;
   this->election.OnLeaderKnown();
+  this->guard.OnLeaderFollowed();
   this->state.role = ReplicaRole::kFollower;
   this->state.leader = leader;
   this->state.leader_contact = this->state.now;
--- a/tests/disk_identity_test.cc
+++ b/tests/disk_identity_test.cc
@@ -301,4 +301,37 @@
             group.At(restored).applied_index.value());
 }
 
+// Guards against a start that follows a leader and then votes within the lease
+// that it has granted, because of answers that came before.
+Test(DiskIdentity, StartThatFollowsALeaderKeepsItsPromise) {
+  TestGroup group(3);
+  const std::string leader = group.Elect();
+  const std::string other = group.Follower(0);
+  const std::string started = group.Follower(1);
+  group.Crash(started);
+  group.Start(started);
+  group.RunUntil([&] { return !group.Of(started).is_probationary(); },
+                 seconds(1));
+  group.Run(milliseconds(100));
+  const Term later(group.Of(started).term().value() + 1);
+  BootReply reply;
+  reply.accepted = true;
+  reply.leaderless = true;
+  reply.boot_nonce = VoteRequestOf(group, started, other, Term(1)).boot_nonce;
+  ReplicaMessage message = VoteRequestOf(group, leader, started, Term(1));
+  message.body = reply;
+  group.Of(started).Step(group.now, message);
+  // Ends the term of the leader that it follows.
+  message = VoteRequestOf(group, other, started, later);
+  message.body = AppendReply{1, false, {}, {}};
+  group.Of(started).Step(group.now, message);
+  message.body = reply;
+  group.Of(started).Step(group.now, message);
+
+  const std::size_t actual =
+      Granted(group, started, VoteRequestOf(group, other, started, later));
+
+  cr_assert_eq(actual, 0, "expected no vote, actual %zu", actual);
+}
+
 }  // namespace marigold
--- a/tests/process/fault_soak.sh
+++ b/tests/process/fault_soak.sh
@@ -19,7 +19,7 @@
 port=7100
 seeds=$net.1:7180,$net.2:7180,$net.3:7180
 relay=$net.200:9100
-# Each link has its own address for a target: callers, list, backend servers.
+# The relay's links: to entry VMs, to the list and to backend servers.
 links="e1 e2 list b1 b2 b3 b4 b5 b6"
 link_targets="e1=$net.11:8090>$net.11:8080,e2=$net.12:8090>$net.12:8080"
 link_targets+=",list=$net.100:7301>$net.100:7300"
@@ -63,7 +63,7 @@
 pause() { sleep "$(printf '%d.%03d' $(($1 / 1000)) $(($1 % 1000)))"; }
 pick() { local all=($1); echo "${all[$((RANDOM % ${#all[@]}))]}"; }
 
-# Changes a link, or all without a name.
+# Gives the relay a command.
 set_link() {
   curl -s -m 1 -o /dev/null --data "$1" "http://$relay/v1/links" ||
     fail "the relay takes no command"
