Count refused sends of aggregators in the retry budget; cut-off data centres in one place

A root never noticed a data centre that was cut off, because only its own sends counted. Change: reports say whether a failed shard was delivered; the root spends a retry then. Groups must halve the time.

--- a/src/net/fan_out/group_call.h
+++ b/src/net/fan_out/group_call.h
@@ -192,8 +192,8 @@
         continue;
       }
       this->is_shard_failed[i] = true;
-      report.failed.push_back(
-          {static_cast<ShardPosition>(i), state.PossibleRuns(i)});
+      report.failed.push_back({static_cast<ShardPosition>(i),
+                               state.PossibleRuns(i), state.WasDelivered(i)});
     }
   }
 
--- a/src/net/fan_out/group_query_server.h
+++ b/src/net/fan_out/group_query_server.h
@@ -96,6 +96,7 @@
                {{"request", query.request.value()},
                 {"reason", this->is_draining ? "stopping" : "too_many_queries"},
                 {"queries", this->call_count}});
+      this->context.metrics.OnGroupQuery("refused");
       this->SendReport(link, id, RefusalOf(query));
       return;
     }
@@ -106,6 +107,7 @@
             self->OnReport(link, id, std::move(report));
           }
         });
+    this->context.metrics.OnGroupQuery("served");
     ++this->call_count;
     client.calls.emplace(id, call);
     call->Start();
@@ -132,7 +134,7 @@
   static GroupReport RefusalOf(const GroupQuery& query) {
     GroupReport report;
     for (std::size_t i = 0; i < query.shards.size(); ++i) {
-      report.failed.push_back({static_cast<ShardPosition>(i), 0});
+      report.failed.push_back({static_cast<ShardPosition>(i), 0, false});
     }
     report.is_final = true;
     return report;
--- a/src/net/fan_out/grouped_call.h
+++ b/src/net/fan_out/grouped_call.h
@@ -91,6 +91,7 @@
 
   // Records a query that was not answered in time or whose link was lost.
   void LogQueryFailure(AggregatorIndex aggregator, std::string_view failure) {
+    this->context.metrics.OnGroupQuery(failure);
     const VmId vm =
         this->fan_out.aggregators.Access([&](AggregatorDirectory& directory) {
           return directory.At(aggregator).vm;
@@ -103,6 +104,7 @@
   void RunStep(const StartQuery& step) {
     this->running.resize(
         std::max<std::size_t>(this->running.size(), step.query.value() + 1));
+    this->context.metrics.OnGroupQuery(step.aggregator ? "sent" : "run_here");
     if (step.aggregator) {
       this->BeginRemote(step);
     } else {
--- a/src/net/fan_out/peer_link.cc
+++ b/src/net/fan_out/peer_link.cc
@@ -182,12 +182,13 @@
   }
   ErrorCode ignored;
   this->socket.close(ignored);
-  // Handlers may hold references to this link. Moving them out releases these
-  // references when this function returns.
-  const PeerLinkHandlers last_handlers = std::exchange(this->handlers, {});
+  // Handlers may hold references to this link, and one of them may be running.
+  // They are released once it has returned.
+  PeerLinkHandlers last_handlers = std::exchange(this->handlers, {});
   if (last_handlers.on_closed) {
     last_handlers.on_closed(this->was_open, reason);
   }
+  this->strand->Post([released = std::move(last_handlers)] {});
 }
 
 }  // namespace marigold
--- a/src/policy/backend_directory.cc
+++ b/src/policy/backend_directory.cc
@@ -178,14 +178,34 @@
 }
 void BackendDirectory::RecordAnswer(MonotonicTime now, Server& server) {
   server.unanswered_since = now;
-  DataCentre& data_centre = this->data_centres[server.listed.data_centre];
-  if (this->IsCutOff(now, server.listed.data_centre)) {
-    this->ClearDataCentreFailures(server.listed.data_centre);
+  this->RecordDataCentreAnswer(now, server.listed.data_centre);
+  server.observations.OnAnswer();
+}
+
+void BackendDirectory::RecordDataCentreAnswer(MonotonicTime now,
+                                              const DataCentreId& id) {
+  DataCentre& data_centre = this->data_centres[id];
+  if (this->IsCutOff(now, id)) {
+    this->ClearDataCentreFailures(id);
   }
   data_centre.last_answer_at = now;
   data_centre.unanswered_attempts = 0;
-  server.observations.OnAnswer();
 }
+
+void BackendDirectory::OnPeerOutcome(MonotonicTime now,
+                                     const DataCentreId& data_centre,
+                                     bool was_answered) {
+  if (was_answered) {
+    this->RecordDataCentreAnswer(now, data_centre);
+    return;
+  }
+  DataCentre& observed = this->data_centres[data_centre];
+  ++observed.unanswered_attempts;
+  if (this->IsCutOff(now, data_centre)) {
+    observed.next_probe_at = now + kProbeInterval;
+  }
+}
+
 void BackendDirectory::ClearDataCentreFailures(
     const DataCentreId& data_centre) {
   for (Server& server : this->servers) {
@@ -320,7 +340,8 @@
       auto& last =
           last_counted[static_cast<std::size_t>(item - result.begin())];
       item->listed_count += std::exchange(last, i) != i ? 1 : 0;
-      if (this->IsAvailable(now, server)) {
+      if (this->IsAvailable(now, server) &&
+          !this->IsCutOff(now, server.listed.data_centre)) {
         item->is_available[i] = true;
       }
     }
--- a/src/policy/backend_directory.h
+++ b/src/policy/backend_directory.h
@@ -149,6 +149,12 @@
                           Duration typical_latency,
                           bool was_answered);
 
+  // Records whether an entry VM in a data centre answered. It shows whether the
+  // data centre is reachable, like an answer of one of its servers.
+  void OnPeerOutcome(MonotonicTime now,
+                     const DataCentreId& data_centre,
+                     bool was_answered);
+
   // Queries.
 
   // The server as last listed by the platform. The reference is valid until the
@@ -165,7 +171,8 @@
   // As `HasAvailableServer`, but counts only servers in data centres that are
   // not cut off.
   bool HasAnsweringServer(MonotonicTime now, const ServiceId& service) const;
-  // Returns for each data centre which of the services have servers there.
+  // Returns for each data centre which of the services have servers there. A
+  // data centre that is cut off has none that is available.
   std::vector<DataCentreServices> ServicesByDataCentre(
       MonotonicTime now,
       std::span<const ServiceId> requested_services) const;
@@ -243,6 +250,7 @@
   // Clears the failures and blocks of all servers of a data centre.
   void ClearDataCentreFailures(const DataCentreId& data_centre);
   void RecordAnswer(MonotonicTime now, Server& server);
+  void RecordDataCentreAnswer(MonotonicTime now, const DataCentreId& id);
   ServerIndex AddOrUpdateServer(MonotonicTime now, const ListedServer& listed);
   ServerView MakeView(MonotonicTime now,
                       ServerIndex index,
--- a/src/policy/fan_out/aggregator_directory.cc
+++ b/src/policy/fan_out/aggregator_directory.cc
@@ -27,13 +27,6 @@
 // How long a VM that was silent or whose connection failed is not asked.
 constexpr Duration kAvoidTime = std::chrono::seconds(1);
 
-// A data centre is cut off after this many silent queries in a row, if none of
-// its aggregators has reported for `kCutOffAfter`. It then gets one query in
-// each `kProbeInterval`, which shows whether it is reachable again.
-constexpr std::uint32_t kCutOffQueries = 3;
-constexpr Duration kCutOffAfter = std::chrono::milliseconds(150);
-constexpr Duration kProbeInterval = std::chrono::milliseconds(500);
-
 // A weight for rendezvous hashing: the same on every VM.
 std::uint64_t Weight(std::uint64_t key, const std::string& name) {
   std::string bytes = name;
@@ -44,8 +37,11 @@
 }  // namespace
 
 AggregatorDirectory::AggregatorDirectory(VmId own_vm,
-                                         DataCentreId home_data_centre)
-    : vm(std::move(own_vm)), own_data_centre(std::move(home_data_centre)) {}
+                                         DataCentreId home_data_centre,
+                                         FanOutMode fan_out_mode)
+    : vm(std::move(own_vm)),
+      own_data_centre(std::move(home_data_centre)),
+      mode(fan_out_mode) {}
 
 void AggregatorDirectory::Apply(const AggregatorUpdate& update) {
   if (update.is_full) {
@@ -99,9 +95,6 @@
   member.silent_queries = 0;
   member.busy_until =
       calls_in_progress >= kBusyCalls ? now + kBusyTime : MonotonicTime();
-  DataCentre& data_centre = this->data_centres[member.aggregator.data_centre];
-  data_centre.silent_queries = 0;
-  data_centre.last_report_at = now;
   this->report_latencies.try_emplace(route, kSamplesPerHistogram)
       .first->second.Add(latency);
 }
@@ -111,9 +104,6 @@
   if (++member.silent_queries >= kMaxSilentQueries) {
     member.avoided_until = now + kAvoidTime;
   }
-  DataCentre& data_centre = this->data_centres[member.aggregator.data_centre];
-  ++data_centre.silent_queries;
-  data_centre.next_probe_at = now + kProbeInterval;
 }
 
 void AggregatorDirectory::OnLost(MonotonicTime now, AggregatorIndex index) {
@@ -144,9 +134,6 @@
   if (found == ordered.end()) {
     return std::nullopt;
   }
-  if (this->IsCutOff(now, *group.data_centre)) {
-    this->data_centres[*group.data_centre].next_probe_at = now + kProbeInterval;
-  }
   return *found;
 }
 
@@ -178,26 +165,11 @@
   return position->second;
 }
 
-bool AggregatorDirectory::IsAskable(MonotonicTime now,
-                                    const DataCentreId& data_centre) const {
-  return this->members_by_data_centre.contains(data_centre) &&
-         (!this->IsCutOff(now, data_centre) ||
-          now >= this->data_centres.at(data_centre).next_probe_at);
-}
-
 std::uint64_t AggregatorDirectory::RankOf(
     const DataCentreId& data_centre) const {
   return Weight(Checksum(this->vm.value()), data_centre.value());
 }
 
-bool AggregatorDirectory::IsCutOff(MonotonicTime now,
-                                   const DataCentreId& data_centre) const {
-  const auto found = this->data_centres.find(data_centre);
-  return found != this->data_centres.end() &&
-         found->second.silent_queries >= kCutOffQueries &&
-         now - found->second.last_report_at > kCutOffAfter;
-}
-
 std::optional<Duration> AggregatorDirectory::ReportQuantile(
     const RouteName& route,
     Fraction quantile) const {
--- a/src/policy/fan_out/aggregator_directory.h
+++ b/src/policy/fan_out/aggregator_directory.h
@@ -25,7 +25,9 @@
 // candidate each time, so that its connections stay in use. Not synchronised.
 class AggregatorDirectory {
  public:
-  AggregatorDirectory(VmId own_vm, DataCentreId own_data_centre);
+  AggregatorDirectory(VmId own_vm,
+                      DataCentreId own_data_centre,
+                      FanOutMode fan_out_mode = FanOutMode::kAutomatic);
 
   // Commands.
 
@@ -58,8 +60,10 @@
 
   // Queries.
 
-  // True if the data centre has aggregators and is not cut off.
-  bool IsAskable(MonotonicTime now, const DataCentreId& data_centre) const;
+  // True if the data centre has aggregators.
+  bool HasAggregators(const DataCentreId& data_centre) const {
+    return this->members_by_data_centre.contains(data_centre);
+  }
   // The order in which this root prefers data centres that are equally good. It
   // differs between roots, which spreads the load.
   std::uint64_t RankOf(const DataCentreId& data_centre) const;
@@ -67,7 +71,9 @@
   // True if a fan-out over this number of shards should go through aggregators.
   bool PrefersGroups(std::size_t shard_count) const {
     return !this->members_by_data_centre.empty() &&
-           this->cost.PrefersGroups(shard_count);
+           this->mode != FanOutMode::kDirect &&
+           (this->mode == FanOutMode::kGroups ||
+            this->cost.PrefersGroups(shard_count));
   }
   const Aggregator& At(AggregatorIndex index) const {
     return this->members[index.value()].aggregator;
@@ -91,13 +97,6 @@
     MonotonicTime avoided_until;
   };
 
-  // What the aggregators of one data centre have shown lately.
-  struct DataCentre {
-    std::uint32_t silent_queries = 0;
-    MonotonicTime last_report_at;
-    MonotonicTime next_probe_at;
-  };
-
   // The members that may be asked for a group, in the order in which this root
   // asks them.
   using Candidates = std::vector<AggregatorIndex>;
@@ -107,15 +106,14 @@
 
   void Add(const Aggregator& aggregator);
   const Candidates& CandidatesOf(const ShardGroup& group);
-  bool IsCutOff(MonotonicTime now, const DataCentreId& data_centre) const;
 
   VmId vm;
   DataCentreId own_data_centre;
+  FanOutMode mode;
   std::vector<Member> members;
   std::unordered_map<VmId, AggregatorIndex> index_by_vm;
   std::unordered_map<DataCentreId, std::vector<AggregatorIndex>>
       members_by_data_centre;
-  std::unordered_map<DataCentreId, DataCentre> data_centres;
   // Computed when first needed, and dropped when the set changes.
   std::unordered_map<GroupKey, Candidates> candidates;
   std::unordered_map<RouteName, LatencyDigest> report_latencies;
--- a/src/policy/fan_out/fan_out_cost.cc
+++ b/src/policy/fan_out/fan_out_cost.cc
@@ -15,7 +15,7 @@
 constexpr Duration kHopTime = std::chrono::milliseconds(4);
 // The second level must save at least this share of the time, because it adds
 // VMs that can fail.
-constexpr double kMinSaving = 0.3;
+constexpr double kMinSaving = 0.5;
 
 // A send costs its VM about as much again when the reply arrives.
 constexpr double kHandlingsPerSend = 2;
--- a/src/policy/fan_out/fan_out_cost.h
+++ b/src/policy/fan_out/fan_out_cost.h
@@ -7,6 +7,17 @@
 
 namespace marigold {
 
+// How fan-outs are answered.
+enum class FanOutMode {
+  // By this process alone or through aggregators, whichever is expected to be
+  // faster.
+  kAutomatic,
+  // By this process alone.
+  kDirect,
+  // Through aggregators.
+  kGroups,
+};
+
 // Decides from measured costs whether a fan-out is worth the second level.
 // Not synchronised.
 class FanOutCost {
--- a/src/policy/fan_out/fan_out_types.h
+++ b/src/policy/fan_out/fan_out_types.h
@@ -76,12 +76,14 @@
   ShardPosition shard = 0;
   // The number of servers that may have run the request.
   std::uint32_t possible_runs = 0;
+  // True if a server may have received the request, even if it did not run it.
+  bool was_delivered = false;
 
   bool operator==(const FailedShard&) const = default;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(this->shard, this->possible_runs);
+    archive(this->shard, this->possible_runs, this->was_delivered);
   }
 };
 
--- a/src/policy/fan_out/grouped_search.h
+++ b/src/policy/fan_out/grouped_search.h
@@ -72,6 +72,7 @@
       return steps;
     }
     if (!std::exchange(query.has_reported, true) && query.aggregator) {
+      this->RecordPeerOutcome(now, query, true);
       this->aggregators.Access([&](AggregatorDirectory& directory) {
         directory.OnReport(now, *query.aggregator, this->plan.route,
                            now - query.started_at, report.calls_in_progress);
@@ -105,6 +106,7 @@
       return steps;
     }
     if (query.aggregator) {
+      this->RecordPeerOutcome(now, query, false);
       this->aggregators.Access([&](AggregatorDirectory& directory) {
         directory.OnLost(now, *query.aggregator);
       });
@@ -114,6 +116,7 @@
       for (const ShardPosition position : query.shards) {
         Shard& shard = this->shards[position];
         shard.granted -= query.attempts;
+        --shard.deliveries;
         // Another aggregator of the same data centre may be reachable.
         shard.tried_data_centres.pop_back();
       }
@@ -166,6 +169,9 @@
   struct Shard {
     // Attempts that queries may have used.
     std::uint32_t granted = 0;
+    // Queries of which a server may have received the request. If there are
+    // any, another query is a retry.
+    std::uint32_t deliveries = 0;
     // Queries in progress that may still answer the shard.
     std::uint32_t open_queries = 0;
     std::uint32_t queries = 0;
@@ -268,7 +274,7 @@
       home = directory.home();
       for (PlannedDataCentre& data_centre : data_centres) {
         const DataCentreId& id = data_centre.services.data_centre;
-        data_centre.is_askable = directory.IsAskable(now, id);
+        data_centre.is_askable = directory.HasAggregators(id);
         data_centre.rank = directory.RankOf(id);
       }
     });
@@ -303,7 +309,7 @@
   }
 
   bool TrySpendRetry(MonotonicTime now, ShardPosition position) {
-    return this->shards[position].granted == 0 ||
+    return this->shards[position].deliveries == 0 ||
            this->backends.Access([&](BackendDirectory& directory) {
              return directory.TrySpendRetry(now, this->plan.targets[position]);
            });
@@ -325,6 +331,7 @@
     for (const ShardPosition position : group.shards) {
       Shard& shard = this->shards[position];
       shard.granted += attempts;
+      ++shard.deliveries;
       ++shard.open_queries;
       ++shard.queries;
       if (aggregator) {
@@ -365,6 +372,7 @@
       Shard& shard = this->shards[position];
       shard.granted -=
           query.attempts - std::min(failed.possible_runs, query.attempts);
+      shard.deliveries -= failed.was_delivered ? 0 : 1;
       --shard.open_queries;
       failed_shards.push_back(position);
     }
@@ -399,6 +407,7 @@
 
   void OnSilent(MonotonicTime now, Query& query, Steps& steps) {
     query.is_marked_silent = true;
+    this->RecordPeerOutcome(now, query, false);
     this->aggregators.Access([&](AggregatorDirectory& directory) {
       directory.OnSilent(now, *query.aggregator);
     });
@@ -408,6 +417,19 @@
     this->QueryShards(now, positions, steps);
   }
 
+  // Records whether the data centre of an aggregator has shown to be reachable.
+  void RecordPeerOutcome(MonotonicTime now,
+                         const Query& query,
+                         bool was_answered) {
+    const DataCentreId data_centre =
+        this->aggregators.Access([&](const AggregatorDirectory& directory) {
+          return directory.At(*query.aggregator).data_centre;
+        });
+    this->backends.Access([&](BackendDirectory& directory) {
+      directory.OnPeerOutcome(now, data_centre, was_answered);
+    });
+  }
+
   void UpdateState(MonotonicTime now, Steps& steps) {
     if (this->current_state != ForwardState::kRunning) {
       return;
--- a/src/policy/forwarding.h
+++ b/src/policy/forwarding.h
@@ -178,6 +178,10 @@
   std::uint32_t PossibleRuns(std::size_t target) const {
     return this->targets[target].possible_runs;
   }
+  // True if a server of the target may have received the request.
+  bool WasDelivered(std::size_t target) const {
+    return this->targets[target].possible_deliveries > 0;
+  }
   // The server to which the request was sent last. Absent before the first
   // send to the target.
   std::optional<ServerIndex> LastServer(std::size_t target) const {
--- a/src/programs/forward_process.h
+++ b/src/programs/forward_process.h
@@ -35,7 +35,8 @@
       : settings(process_settings),
         backends(ToDirectorySettings(process_settings)),
         aggregators(VmId(process_settings.vm),
-                    DataCentreId(process_settings.data_centre)),
+                    DataCentreId(process_settings.data_centre),
+                    ToFanOutMode(process_settings.fan_out)),
         pool(process_settings.workers),
         control(pool, lists, listing, ToControlSettings(process_settings)) {}
 
@@ -91,6 +92,13 @@
     return directory;
   }
 
+  static FanOutMode ToFanOutMode(const std::string& name) {
+    if (name == "direct") {
+      return FanOutMode::kDirect;
+    }
+    return name == "groups" ? FanOutMode::kGroups : FanOutMode::kAutomatic;
+  }
+
   static ReplyLimits ToReplyLimits(const ForwardSettings& settings) {
     return {static_cast<std::size_t>(settings.max_reply_bytes),
             static_cast<std::size_t>(settings.reply_memory_bytes /
--- a/src/programs/forward_settings.cc
+++ b/src/programs/forward_settings.cc
@@ -33,6 +33,10 @@
                    "Window in which retries are counted.");
   table.AddDecimal("stop-bound-s", settings.stop_timeout_s, 1, 3'600, "s",
                    "Time after a signal until the process is killed.");
+  table.AddChoice("fan-out", settings.fan_out,
+                  {"automatic", "direct", "groups"},
+                  "How queries over many shards are sent: by this VM alone, "
+                  "through other entry VMs, or as is expected to be faster.");
   table.AddChoice("log-level", settings.log_level,
                   {"debug", "info", "warning", "error", "off"},
                   "Lines below this level are not logged.");
--- a/src/programs/forward_settings.h
+++ b/src/programs/forward_settings.h
@@ -20,6 +20,8 @@
   Endpoint admin{"127.0.0.1", 8081};
   // The address for queries of other entry VMs. Port 0 turns them off.
   Endpoint aggregator{};
+  // "automatic", "direct" or "groups"; see `FanOutMode`.
+  std::string fan_out = "automatic";
   // The path of the readiness check on the address `admin`.
   std::string ready_path = "/ready";
   std::vector<Endpoint> controls;
--- a/src/tables/aggregator_table.h
+++ b/src/tables/aggregator_table.h
@@ -11,8 +11,10 @@
 // The directory of the other entry VMs, shared by all workers.
 class AggregatorTable {
  public:
-  AggregatorTable(VmId vm, DataCentreId data_centre)
-      : directory(std::move(vm), std::move(data_centre)) {}
+  AggregatorTable(VmId vm,
+                  DataCentreId data_centre,
+                  FanOutMode mode = FanOutMode::kAutomatic)
+      : directory(std::move(vm), std::move(data_centre), mode) {}
 
   // Runs `body` on the directory under the lock and returns its result.
   template <class Body>
--- a/src/tables/forward_metrics.cc
+++ b/src/tables/forward_metrics.cc
@@ -36,6 +36,13 @@
       refusals(AddCounterFamily(*registry,
                                 "marigold_forward_refusals_total",
                                 "Requests refused before any send, by cause.")),
+      group_queries(AddCounterFamily(
+          *registry,
+          "marigold_group_queries_total",
+          "Queries for groups of shards: sent to another entry VM, run here "
+          "for "
+          "a request of this VM, served for another one, refused, lost with "
+          "their connection, or without a report in time.")),
       partial(AddCounterFamily(*registry,
                                "marigold_forward_partial_total",
                                "Merged answers that lack shards.")
@@ -65,6 +72,10 @@
   this->refusals.Add({{"cause", std::string(reason)}}).Increment();
 }
 
+void ForwardMetrics::OnGroupQuery(std::string_view event) {
+  this->group_queries.Add({{"event", std::string(event)}}).Increment();
+}
+
 void ForwardMetrics::OnPartialAnswer() {
   this->partial.Increment();
 }
--- a/src/tables/forward_metrics.h
+++ b/src/tables/forward_metrics.h
@@ -25,6 +25,8 @@
   void OnSendFailure(std::string_view failure);
   void OnRefused(std::string_view reason);
   void OnPartialAnswer();
+  // A query for a group of shards. `event` is a stable text such as "sent".
+  void OnGroupQuery(std::string_view event);
 
   // Queries.
 
@@ -37,6 +39,7 @@
   prometheus::Family<prometheus::Counter>& sends;
   prometheus::Family<prometheus::Counter>& failures;
   prometheus::Family<prometheus::Counter>& refusals;
+  prometheus::Family<prometheus::Counter>& group_queries;
   prometheus::Counter& partial;
   prometheus::Counter& first_sends;
   prometheus::Counter& repeated_sends;
--- a/tests/aggregator_directory_test.cc
+++ b/tests/aggregator_directory_test.cc
@@ -148,22 +148,6 @@
   cr_assert(directory.Choose(kStart, Group(1), {}).has_value());
 }
 
-// Guards against requests that each wait for a data centre that is cut off, and
-// against one that is never asked again.
-Test(AggregatorDirectory, CutOffDataCentreIsProbed) {
-  auto directory = MakeDirectory("root", 10);
-  for (int i = 0; i < 3; ++i) {
-    directory.OnSilent(kStart, AggregatorIndex(static_cast<std::uint64_t>(i)));
-  }
-  const DataCentreId data_centre("dc");
-  cr_assert(!directory.IsAskable(kStart + milliseconds(1), data_centre));
-  cr_assert(directory.IsAskable(kStart + milliseconds(501), data_centre));
-  directory.Choose(kStart + milliseconds(501), Group(1), {});
-  cr_assert(!directory.IsAskable(kStart + milliseconds(502), data_centre));
-  ReportFrom(directory, AggregatorIndex(0), kStart + milliseconds(510), 0);
-  cr_assert(directory.IsAskable(kStart + milliseconds(511), data_centre));
-}
-
 // Guards against a VM that has left and is asked again after a restart of a
 // control VM, which sends the whole set.
 Test(AggregatorDirectory, FullSetReplacesTheEarlierOne) {
--- a/tests/fan_out_messages_test.cc
+++ b/tests/fan_out_messages_test.cc
@@ -33,7 +33,7 @@
   GroupQueryReport report;
   report.query = GroupQueryId(7);
   report.report.blocks = {{{{0, "stamp"}}, std::string(16, 'r')}};
-  report.report.failed = {{1, 1}};
+  report.report.failed = {{1, 1, true}};
   report.report.late = {{2, BackendServerId("c-1")}};
   report.report.sends = 3;
   report.report.calls_in_progress = 2;
@@ -120,7 +120,7 @@
 const ReportRow kReportRows[] = {
     {{{{{{0, "s"}, {1, "t"}}, ""}}, {}, {}, 0, 0, false}, true},
     {{{{{{2, "s"}}, ""}}, {}, {}, 0, 0, false}, false},
-    {{{}, {{2, 0}}, {}, 0, 0, false}, false},
+    {{{}, {{2, 0, false}}, {}, 0, 0, false}, false},
     {{{}, {}, {{2, BackendServerId("x")}}, 0, 0, false}, false},
 };
 
--- a/tests/grouped_search_fixture.h
+++ b/tests/grouped_search_fixture.h
@@ -108,7 +108,7 @@
   void Fail(std::size_t query, ShardPosition shard, std::uint32_t runs) {
     this->TakeBack(query, shard, runs);
     GroupReport report;
-    report.failed = {{shard, runs}};
+    report.failed = {{shard, runs, runs > 0}};
     this->Report(query, report);
   }
 
--- a/tests/grouped_search_test.cc
+++ b/tests/grouped_search_test.cc
@@ -185,6 +185,44 @@
                "actual %zu", fixture.search->parts().answered_count());
 }
 
+// Guards against requests that each wait for a data centre that is cut off, and
+// against entry VMs that stay in rotation although they can't serve.
+Test(GroupedSearch, SilentDataCentreIsNotAskedAgainUntilAProbe) {
+  GroupedSearchFixture fixture(kShards);
+  fixture.Start();
+  fixture.Wait(milliseconds(75));
+  const DataCentreId cut_off = fixture.DataCentreOf(0);
+  const std::size_t first_queries = fixture.queries.size();
+  fixture.now += milliseconds(10);
+  fixture.Start();
+  for (std::size_t query = first_queries; query < fixture.queries.size();
+       ++query) {
+    cr_assert(fixture.DataCentreOf(query) != cut_off, "query %zu", query);
+  }
+  const bool has_cut_off =
+      fixture.backends.Access([&](const BackendDirectory& directory) {
+        return directory.HasCutOffDataCentre(fixture.now);
+      });
+  cr_assert(has_cut_off, "expected a data centre that is cut off");
+}
+
+// Guards against a retry budget that queries for refused shards do not spend.
+Test(GroupedSearch, ShardThatWasRefusedByItsServerSpendsARetry) {
+  GroupedSearchFixture fixture(kShards);
+  fixture.backends.Access([](BackendDirectory& directory) {
+    directory.SetRetryBudgetShare(Fraction(0));
+  });
+  fixture.Start();
+  const std::size_t first_queries = fixture.queries.size();
+  GroupReport report;
+  report.failed = {{0, 0, true}, {1, 0, false}};
+  fixture.Report(0, report);
+  cr_assert_eq(fixture.queries.size(), first_queries + 1, "actual %zu",
+               fixture.queries.size());
+  cr_assert_eq(fixture.queries.back().shards.size(), std::size_t{1},
+               "actual %zu", fixture.queries.back().shards.size());
+}
+
 namespace {
 
 struct RefusalRow {
@@ -245,7 +283,7 @@
       break;
     case 3: {
       GroupReport report;
-      report.failed = {{shard, fixture.queries[query].max_attempts}};
+      report.failed = {{shard, fixture.queries[query].max_attempts, true}};
       report.is_final = random.NextBelow(2) == 0;
       fixture.Report(query, report);
       break;
--- a/tests/process/fault_soak.sh
+++ b/tests/process/fault_soak.sh
@@ -28,6 +28,8 @@
 for i in 1 2 3 4 5 6; do link_targets+=",b$i=$servers.$i:9001>$servers.$i:9000"; done
 controls="1 2 3 4"
 entries="1 2"
+# Even seeds test the path through other entry VMs.
+fan_out=$([ $((seed % 2)) = 0 ] && echo groups || echo automatic)
 declare -A pids
 RANDOM=$seed
 
@@ -52,6 +54,7 @@
   "$bin/marigold-platform-entry" --vm="e$1" --data-centre=dc1 \
     --listen=$net.1$1:8080 --admin=$net.1$1:8081 --seeds=$seeds \
     --internal-port=$port --server-list=$net.100:7301 --stop-bound-s=4 \
+    --fan-out="$fan_out" \
     >>"$work/e$1.log" 2>&1 &
   pids[e$1]=$!
   disown
--- a/tests/process/platform_path.sh
+++ b/tests/process/platform_path.sh
@@ -44,7 +44,7 @@
   "$bin/marigold-platform-entry" --vm="e$1" --data-centre=dc1 \
     --listen=$net.1$1:8080 --admin=$net.1$1:8081 --seeds=$seeds \
     --internal-port=$port --server-list=127.52.2.1:7300 --stop-bound-s=6 \
-    >>"$work/e$1.log" 2>&1 &
+    --fan-out="${2:-automatic}" >>"$work/e$1.log" 2>&1 &
   pids[e$1]=$!
   disown
 }
@@ -114,7 +114,8 @@
 pids[standin]=$!
 disown
 for i in 1 2 3; do start_control $i true; done
-for i in 1 2; do start_entry $i; done
+start_entry 1
+start_entry 2 groups
 
 within $ack_ms "a first configuration is accepted" config_accepted 3 900
 for i in 1 2; do within $recovery_ms "entry VM $i is ready" is_ready $i; done
@@ -128,6 +129,28 @@
   "$(grep -i '^X-Missing-Parts:' "$work/header" | tr -dc 0-9)"
 expect "the body consists of the greatest records" "$(printf '2%.0s' {1..32})$(printf '1%.0s' {1..16})" \
   "$(cat "$work/body")"
+
+# Entry VM 2 answers through entry VM 1. The answer must be the same as that of one
+# VM alone, and must not depend on the other VM.
+knows_an_aggregator() { grep -q 'event=aggregators_changed.* known=1' "$work/e2.log"; }
+group_queries() {
+  curl -s -m 1 "$net.1$1:8081/metrics" |
+    sed -n "s/^marigold_group_queries_total{event=\"$2\"} //p"
+}
+within 3000 "entry VM 2 knows entry VM 1" knows_an_aggregator
+expect "a query through another entry VM succeeds" 200 "$(send_request 2 q-g1 /x/1)"
+expect "the answer has the stamp of one part of each shard" 2 \
+  "$(grep -i '^X-Part-Stamps:' "$work/header" | tr ',' '\n' | grep -c 'i-s')"
+expect "the body consists of the greatest records" "$(printf '2%.0s' {1..32})$(printf '1%.0s' {1..16})" \
+  "$(cat "$work/body")"
+expect "entry VM 1 served the query" 1 "$(group_queries 1 served)"
+kill_process e1
+expect "a query succeeds after the other entry VM was killed" 200 "$(send_request 2 q-g2 /x/1)"
+expect "no part is missing" 0 \
+  "$(grep -i '^X-Missing-Parts:' "$work/header" | tr -dc 0-9)"
+start_entry 1
+within $recovery_ms "entry VM 1 is ready again" is_ready 1
+
 expect "an unknown route is not found" 404 "$(send_request 1 q-2 /none/)"
 expect "an action runs" 200 "$(send_request 1 a-1 /act/1 -X POST -d 'x=1')"
 expect "the action ran once" 1 "$(run_count a-1)"
