Collect the failures of a group; keep the running queries of a slow aggregator

Cause: when many servers lose their answers, each failure was a report and a query of its own. Change: failures are reported together after 3 ms.

--- a/src/net/fan_out/aggregator_links.h
+++ b/src/net/fan_out/aggregator_links.h
@@ -28,7 +28,7 @@
  public:
   // Identifies a query among all that the strand has in progress.
   struct Ticket {
-    Endpoint endpoint;
+    const PeerLink* link = nullptr;
     GroupQueryId query;
   };
 
@@ -57,6 +57,7 @@
   };
 
   struct Link {
+    Endpoint endpoint;
     std::shared_ptr<PeerLink> connection;
     std::map<GroupQueryId, PendingQuery> queries;
   };
@@ -67,17 +68,24 @@
     }
   };
 
+  // Returns the link for new queries to an endpoint. A stalled link is replaced
+  // but stays open for its queries, because the aggregator may only be slow.
   Link& OpenLink(const Endpoint& endpoint);
   bool IsStalled(const Link& link) const;
-  void OnBody(const Endpoint& endpoint, std::string_view body);
-  void OnReport(const Endpoint& endpoint, GroupQueryReport received);
-  void OnClosed(const Endpoint& endpoint,
-                const PeerLink* connection,
+  bool IsCurrent(const Link& link) const;
+  void OnBody(const PeerLink* connection, std::string_view body);
+  void OnReport(Link& link, GroupQueryReport received);
+  void RefuseMessage(const Link& link, std::string_view error);
+  // Ends a query, and closes its link if that is replaced and has no other one.
+  void EndQuery(Link& link, GroupQueryId query);
+  void OnClosed(const PeerLink* connection,
                 bool was_open,
                 std::string_view reason);
 
   std::shared_ptr<Strand> strand;
-  std::unordered_map<Endpoint, Link, EndpointHash> links;
+  std::unordered_map<const PeerLink*, Link> links;
+  // The link for new queries, by endpoint.
+  std::unordered_map<Endpoint, const PeerLink*, EndpointHash> current_links;
   std::uint64_t last_query = 0;
 };
 
--- a/src/net/fan_out/group_call.h
+++ b/src/net/fan_out/group_call.h
@@ -69,7 +69,7 @@
                         std::move(this->query.request_suffix)},
                        this->query.is_head},
         std::move(plan), std::move(handlers));
-    this->SetTimer();
+    this->UpdateTimer();
     this->run->Start();
     const Duration elapsed = this->Now() - now;
     this->aggregators.Access([&](AggregatorDirectory& directory) {
@@ -118,9 +118,17 @@
     return plan;
   }
 
-  void SetTimer() {
-    this->timer = this->context.strand->RunAt(
-        this->progress->report_at(), [weak = this->weak_from_this()] {
+  void UpdateTimer() {
+    const MonotonicTime due_at = this->progress->NextDue();
+    if (this->timer && this->timer->first == due_at) {
+      return;
+    }
+    this->StopTimer();
+    if (due_at == MonotonicTime::max()) {
+      return;
+    }
+    this->timer =
+        this->context.strand->RunAt(due_at, [weak = this->weak_from_this()] {
           if (const auto self = weak.lock()) {
             self->timer.reset();
             self->OnProgress();
@@ -139,26 +147,34 @@
     if (this->is_finished) {
       return;
     }
+    const MonotonicTime now = this->Now();
     const bool is_final = this->run->state() != ForwardState::kRunning;
-    const bool are_answers_due =
-        is_final || this->progress->AreAnswersDue(this->Now());
-    GroupReport report;
-    this->AddFailures(report);
-    if (are_answers_due) {
-      if (this->progress->IsFirstReport() && !is_final) {
-        this->AddLateShards(report);
+    this->CollectFailures(now, is_final);
+    const bool are_answers_due = is_final || this->progress->AreAnswersDue(now);
+    const bool are_failures_due =
+        are_answers_due || this->progress->AreFailuresDue(now);
+    if (are_failures_due) {
+      GroupReport report;
+      report.failed = this->progress->TakeFailures();
+      if (are_answers_due) {
+        if (!this->progress->HasReportedAnswers() && !is_final) {
+          this->AddLateShards(report);
+        }
+        this->AddAnswers(report);
       }
-      this->AddAnswers(report);
-      this->progress->OnReported();
+      report.is_final = is_final;
+      report.sends =
+          static_cast<std::uint32_t>(this->run->progress().send_count());
+      this->Report(std::move(report));
     }
-    report.is_final = is_final;
-    report.sends =
-        static_cast<std::uint32_t>(this->run->progress().send_count());
-    if (!are_answers_due && report.failed.empty()) {
-      return;
+    if (!this->is_finished) {
+      this->UpdateTimer();
     }
-    this->is_finished = is_final;
-    if (is_final) {
+  }
+
+  void Report(GroupReport report) {
+    if (report.is_final) {
+      this->is_finished = true;
       this->StopTimer();
       this->LogFailures();
     }
@@ -181,19 +197,19 @@
               {"failures", this->run->failures().failures()}});
   }
 
-  // Adds the shards that have become exhausted, and at the end all that have
-  // not answered.
-  void AddFailures(GroupReport& report) {
+  // Collects the shards that have become exhausted, and at the end all that
+  // have not answered.
+  void CollectFailures(MonotonicTime now, bool is_final) {
     const auto& state = this->run->progress();
-    const bool is_final = this->run->state() != ForwardState::kRunning;
     for (std::size_t i = 0; i < this->is_shard_failed.size(); ++i) {
       if (this->is_shard_failed[i] || state.IsAnswered(i) ||
           !(is_final || state.IsExhausted(i))) {
         continue;
       }
       this->is_shard_failed[i] = true;
-      report.failed.push_back({static_cast<ShardPosition>(i),
-                               state.PossibleRuns(i), state.WasDelivered(i)});
+      this->progress->OnFailure(
+          now, {static_cast<ShardPosition>(i), state.PossibleRuns(i),
+                state.WasDelivered(i)});
     }
   }
 
@@ -215,9 +231,8 @@
   // Adds all answers of the first report as one block. Later answers are blocks
   // of their own, because another query may have answered the same shard.
   void AddAnswers(GroupReport& report) {
-    const bool is_first = this->progress->IsFirstReport();
-    const std::vector<ShardPosition> answered =
-        this->progress->TakeUnreported();
+    const bool is_first = !this->progress->HasReportedAnswers();
+    const std::vector<ShardPosition> answered = this->progress->TakeAnswers();
     if (is_first && !answered.empty()) {
       report.blocks.push_back(this->MakeBlock(answered));
     }
--- a/src/policy/fan_out/group_progress.h
+++ b/src/policy/fan_out/group_progress.h
@@ -1,6 +1,7 @@
 #ifndef SRC_POLICY_FAN_OUT_GROUP_PROGRESS_H_
 #define SRC_POLICY_FAN_OUT_GROUP_PROGRESS_H_
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -12,8 +13,9 @@
 
 // Decides when an aggregator reports to the root. The answers that arrive in
 // the usual time go into one report, so that a group costs one message. Later
-// answers and failures are reported at once, because the root may wait for
-// them.
+// answers are reported at once, because the root may wait for them. Failures
+// are collected for a moment: when many servers lose their answers, each report
+// would otherwise cause another query for a single shard.
 class GroupProgress {
  public:
   // `timing` holds the usual latencies of the route, and `max_attempts` the
@@ -29,29 +31,55 @@
 
   void OnAnswer(ShardPosition shard) { this->unreported.push_back(shard); }
 
+  void OnFailure(MonotonicTime now, const FailedShard& failed) {
+    if (this->failures.empty()) {
+      this->failures_due_at = now + kFailureReportDelay;
+    }
+    this->failures.push_back(failed);
+  }
+
   // Returns the answered shards that have not been reported, and marks them as
   // reported.
-  std::vector<ShardPosition> TakeUnreported() {
+  std::vector<ShardPosition> TakeAnswers() {
+    this->has_reported_answers = true;
     return std::exchange(this->unreported, {});
   }
 
-  // Marks the first report as sent.
-  void OnReported() { this->has_reported = true; }
+  // Returns the failures that have not been reported, and marks them as
+  // reported.
+  std::vector<FailedShard> TakeFailures() {
+    this->failures_due_at = MonotonicTime::max();
+    return std::exchange(this->failures, {});
+  }
 
   // Queries.
 
-  // True if the answers that have arrived are reported now.
+  // True if the answers that have arrived are reported now. The first report of
+  // answers also names the shards that are late.
   bool AreAnswersDue(MonotonicTime now) const {
-    return this->has_reported ? !this->unreported.empty()
-                              : now >= this->first_report_at;
+    return this->has_reported_answers ? !this->unreported.empty()
+                                      : now >= this->first_report_at;
+  }
+  bool AreFailuresDue(MonotonicTime now) const {
+    return now >= this->failures_due_at;
+  }
+  bool HasReportedAnswers() const { return this->has_reported_answers; }
+  // The next time at which a report may be due without another event.
+  MonotonicTime NextDue() const {
+    return this->has_reported_answers
+               ? this->failures_due_at
+               : std::min(this->first_report_at, this->failures_due_at);
   }
-  bool IsFirstReport() const { return !this->has_reported; }
-  MonotonicTime report_at() const { return this->first_report_at; }
 
  private:
+  // Failures of several servers often come within this time.
+  static constexpr Duration kFailureReportDelay = std::chrono::milliseconds(3);
+
   MonotonicTime first_report_at;
+  MonotonicTime failures_due_at = MonotonicTime::max();
   std::vector<ShardPosition> unreported;
-  bool has_reported = false;
+  std::vector<FailedShard> failures;
+  bool has_reported_answers = false;
 };
 
 }  // namespace marigold
