Ask the leader for the lists at the start

Cause: an entry VM that starts waits for the leader's reply or for all replies. The settings name three control VMs, of which the leader may be none and one may be gone, so that a start took up to 1 s longer. Change: a reply names the leader, which is then asked as well.

--- a/src/net/control/list_sharing.cc
+++ b/src/net/control/list_sharing.cc
@@ -85,6 +85,7 @@
 }
 
 void ListSharing::RequestLists(const Endpoint& endpoint) {
+  this->asked.insert(endpoint);
   ++this->pending_calls;
   CallOnce(this->pool, endpoint, ReadLists{CallId(1), this->table.index()},
            kRequestTimeout,
@@ -104,6 +105,11 @@
   const auto* reply =
       message == nullptr ? nullptr : std::get_if<ListsReply>(message);
   if (reply != nullptr) {
+    // The settings may not name the leader, and its reply makes the others
+    // unnecessary.
+    if (reply->leader && !this->asked.contains(*reply->leader)) {
+      this->RequestLists(*reply->leader);
+    }
     this->did_leader_reply = this->did_leader_reply || reply->is_confirmed;
     this->max_reported_index = std::max(this->max_reported_index, reply->index);
     if (reply->full_lists) {
--- a/src/net/control/list_sharing.h
+++ b/src/net/control/list_sharing.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <vector>
 
 #include "src/core/clock.h"
@@ -71,6 +72,8 @@
   SystemClock clock;
   SeededRandom random;
   std::unique_ptr<FramedServer> server;
+  // The VMs that were asked at least once.
+  std::set<Endpoint> asked;
   std::size_t pending_calls = 0;
   bool has_requested_all = false;
   bool did_leader_reply = false;
--- a/tests/control_client_test.cc
+++ b/tests/control_client_test.cc
@@ -69,6 +69,10 @@
   bool has_quorum = true;
   // Requests for lists are answered after this time.
   Duration reply_delay{};
+  // True if replies say that this control VM is the leader.
+  bool leads = false;
+  // The leader that replies to requests for lists name.
+  std::optional<Endpoint> known_leader;
   // The peer stops sending heartbeats after it has received this number of
   // them.
   int max_heartbeats = 1'000'000;
@@ -146,6 +150,8 @@
       reply.call = request.call;
       reply.index = this->lists->to;
       reply.full_lists = this->lists->full_lists;
+      reply.is_confirmed = this->leads;
+      reply.leader = this->known_leader;
       this->pool.PostAfter(this->reply_delay,
                            [weak = connection.weak_from_this(), reply] {
                              if (const auto open = weak.lock()) {
@@ -314,6 +320,36 @@
                actual.c_str());
 }
 
+// Guards against a start that waits for a VM that does not answer although the
+// leader has confirmed the lists. The settings do not name the leader.
+Test(ControlClient, LeaderReplyMakesOtherRepliesUnnecessary) {
+  ListTable table;
+  WorkerPool pool(2);
+  ScriptedPeer follower(pool, Address(1));
+  ScriptedPeer silent_control(pool, Address(2));
+  ScriptedPeer leader(pool, Address(4));
+  follower.lists = ListsAt(5);
+  follower.known_leader = Address(4);
+  leader.lists = ListsAt(9);
+  leader.leads = true;
+  ListingTable listing;
+  ControlClientSettings settings = TestClientSettings();
+  settings.start_without_quorum_after = kWaitLimit;
+  ControlClient client(pool, table, listing, settings);
+  cr_assert(std::holds_alternative<bool>(Capture<bool>([&]() -> Result<bool> {
+    BOOST_LEAF_CHECK(client.Start());
+    return true;
+  })));
+  // A request without a reply ends after 1 s.
+  const bool is_synchronised = Await(
+      pool, [&] { return client.is_synchronised(); },
+      std::chrono::milliseconds(900));
+  cr_assert(is_synchronised, "expected a start with the leader's reply");
+  cr_assert_eq(table.index(), LogIndex(9), "expected 9, actual %lu",
+               table.index().value());
+  pool.Stop();
+}
+
 ParameterizedTestParameters(ControlClient, StartsWithTheNewestLists) {
   return RowIndices(kStartRows);
 }
