Ask the followed control VM for the leader's lists until they have come

Cause: when all VMs lose power and start together, the first requests find no leader, and the ones to VMs that are still off end after 1 s. Change: while it starts, an entry VM asks the control VM of its stream every 50 ms and follows the leader that it names.

--- a/src/net/control/control_client.cc
+++ b/src/net/control/control_client.cc
@@ -18,6 +18,9 @@
 // follows no control VM in contact with a quorum.
 constexpr Duration kPeerRequestInterval = std::chrono::seconds(1);
 
+// Interval between requests for the leader's lists while the client starts.
+constexpr Duration kConfirmationInterval = std::chrono::milliseconds(50);
+
 }  // namespace
 
 // All mutable members except `has_synchronised` are used only on the queue.
@@ -55,10 +58,12 @@
       this->stream->Start();
     }
     this->ArmPeerTimer();
+    this->RequestConfirmation();
   }
 
   void Stop() {
     this->peer_timer.Cancel();
+    this->confirmation_timer.Cancel();
     if (this->stream) {
       this->stream->Stop();
       this->sender->Stop();
@@ -66,11 +71,10 @@
   }
 
   void UpdateSynchronised() {
-    const LogIndex index = this->table.index();
-    if (this->has_synchronised ||
-        index < this->sharing->highest_reported_index()) {
+    if (this->has_synchronised) {
       return;
     }
+    const LogIndex index = this->table.index();
     const auto confirmed_index =
         this->stream ? this->stream->confirmed_index() : std::nullopt;
     // A follower in contact with a quorum may lack the newest changes. The
@@ -83,13 +87,32 @@
         this->sharing->has_finished_requesting_all() && index > LogIndex() &&
         this->clock.Now() - this->started_at >=
             this->settings.start_without_quorum_after;
-    if (is_confirmed || may_start_without_quorum) {
+    if (index >= this->sharing->highest_reported_index() &&
+        (is_confirmed || may_start_without_quorum)) {
       this->has_synchronised = true;
       LogEvent(LogLevel::kInfo, "lists_in_force",
                {{"index", index.value()}, {"confirmed", is_confirmed}});
     }
   }
 
+  // Asks for the leader's reply until it has come. When all VMs start together,
+  // the replies to the first requests come before there is a leader.
+  void RequestConfirmation() {
+    if (this->has_synchronised) {
+      return;
+    }
+    if (this->stream && this->stream->confirmed_index() &&
+        !this->sharing->has_leader_reply()) {
+      this->sharing->RequestConfirmation(this->stream->control());
+    }
+    this->confirmation_timer = this->queue.After(
+        kConfirmationInterval, [weak = this->weak_from_this()] {
+          if (const auto self = weak.lock()) {
+            self->RequestConfirmation();
+          }
+        });
+  }
+
   void ArmPeerTimer() {
     this->peer_timer = this->queue.After(kPeerRequestInterval,
                                          [weak = this->weak_from_this()] {
@@ -118,6 +141,7 @@
   std::shared_ptr<CommandSender> sender;
   MonotonicTime started_at;
   TimerHandle peer_timer;
+  TimerHandle confirmation_timer;
   std::atomic<bool> has_synchronised = false;
 };
 
--- a/src/net/control/list_sharing.cc
+++ b/src/net/control/list_sharing.cc
@@ -16,6 +16,9 @@
 constexpr Duration kServerSilenceTimeout = std::chrono::seconds(5);
 constexpr std::size_t kMaxConnections = 256;
 
+// A leader may lose its place while it is asked.
+constexpr int kMaxRedirects = 2;
+
 ListsReply ReplyTo(const ReadLists& request, const ListTable& table) {
   ListsReply reply;
   reply.call = request.call;
@@ -64,15 +67,21 @@
 void ListSharing::RequestFromAll() {
   this->has_requested_all = true;
   for (const Endpoint& control : this->settings.controls) {
-    this->RequestLists(control);
+    this->RequestLists(control, {true, kMaxRedirects});
   }
   for (const Endpoint& peer : this->settings.peers) {
     if (peer != this->settings.listen) {
-      this->RequestLists(peer);
+      this->RequestLists(peer, {true, 0});
     }
   }
 }
 
+void ListSharing::RequestConfirmation(const Endpoint& control) {
+  if (this->pending_confirmations == 0) {
+    this->RequestLists(control, {false, kMaxRedirects});
+  }
+}
+
 void ListSharing::RequestFromOnePeer() {
   if (this->settings.peers.empty()) {
     return;
@@ -80,37 +89,38 @@
   const Endpoint& peer =
       this->settings.peers[this->random.NextBelow(this->settings.peers.size())];
   if (peer != this->settings.listen) {
-    this->RequestLists(peer);
+    this->RequestLists(peer, {});
   }
 }
 
-void ListSharing::RequestLists(const Endpoint& endpoint) {
-  this->asked.insert(endpoint);
-  ++this->pending_calls;
+void ListSharing::RequestLists(const Endpoint& endpoint, Request request) {
+  ++(request.is_initial ? this->pending_initial_calls
+                        : this->pending_confirmations);
   CallOnce(this->pool, endpoint, ReadLists{CallId(1), this->table.index()},
            kRequestTimeout,
-           [weak = this->weak_from_this(),
-            serial_queue = this->queue](CallOutcome outcome) {
-             serial_queue.Post([weak, outcome = std::move(outcome)] {
+           [weak = this->weak_from_this(), serial_queue = this->queue,
+            request](CallOutcome outcome) {
+             serial_queue.Post([weak, outcome = std::move(outcome), request] {
                if (const auto self = weak.lock()) {
-                 self->OnOutcome(outcome);
+                 self->OnOutcome(outcome, request);
                }
              });
            });
 }
 
-void ListSharing::OnOutcome(const CallOutcome& outcome) {
-  --this->pending_calls;
+void ListSharing::OnOutcome(const CallOutcome& outcome, Request request) {
+  --(request.is_initial ? this->pending_initial_calls
+                        : this->pending_confirmations);
   const auto* message = std::get_if<ControlMessage>(&outcome);
   const auto* reply =
       message == nullptr ? nullptr : std::get_if<ListsReply>(message);
   if (reply != nullptr) {
-    // The settings may not name the leader, and its reply makes the others
-    // unnecessary.
-    if (reply->leader && !this->asked.contains(*reply->leader)) {
-      this->RequestLists(*reply->leader);
-    }
     this->did_leader_reply = this->did_leader_reply || reply->is_confirmed;
+    // The reply of the leader makes the others unnecessary.
+    if (reply->leader && request.redirects > 0 && !this->did_leader_reply) {
+      this->RequestLists(*reply->leader,
+                         {request.is_initial, request.redirects - 1});
+    }
     this->max_reported_index = std::max(this->max_reported_index, reply->index);
     if (reply->full_lists) {
       this->table.Apply(
--- a/src/net/control/list_sharing.h
+++ b/src/net/control/list_sharing.h
@@ -3,7 +3,6 @@
 
 #include <functional>
 #include <memory>
-#include <set>
 #include <vector>
 
 #include "src/core/clock.h"
@@ -42,6 +41,10 @@
   // Requests the lists once from every control VM and every other entry VM.
   void RequestFromAll();
 
+  // Requests the lists from a control VM, and from the leader that its reply
+  // names. Does nothing while such a request is in progress.
+  void RequestConfirmation(const Endpoint& control);
+
   // Requests the lists from a random entry VM. Does nothing if the settings
   // name none, or if the chosen one is this VM.
   void RequestFromOnePeer();
@@ -51,7 +54,7 @@
   // True once `RequestFromAll` was called and every request has been answered
   // or has failed.
   bool has_finished_requesting_all() const {
-    return this->has_requested_all && this->pending_calls == 0;
+    return this->has_requested_all && this->pending_initial_calls == 0;
   }
   // True once a leader in contact with a quorum has replied. Its lists contain
   // every change that was accepted before, so no other reply is needed.
@@ -60,8 +63,15 @@
   LogIndex highest_reported_index() const { return this->max_reported_index; }
 
  private:
-  void RequestLists(const Endpoint& endpoint);
-  void OnOutcome(const CallOutcome& outcome);
+  struct Request {
+    // True for a request of `RequestFromAll`.
+    bool is_initial = false;
+    // The number of times that the leader which a reply names is asked too.
+    int redirects = 0;
+  };
+
+  void RequestLists(const Endpoint& endpoint, Request request);
+  void OnOutcome(const CallOutcome& outcome, Request request);
   void Serve(const std::shared_ptr<FramedConnection>& connection);
 
   WorkerPool& pool;
@@ -72,9 +82,8 @@
   SystemClock clock;
   SeededRandom random;
   std::unique_ptr<FramedServer> server;
-  // The VMs that were asked at least once.
-  std::set<Endpoint> asked;
-  std::size_t pending_calls = 0;
+  std::size_t pending_initial_calls = 0;
+  std::size_t pending_confirmations = 0;
   bool has_requested_all = false;
   bool did_leader_reply = false;
   LogIndex max_reported_index;
--- a/src/net/control/list_stream.h
+++ b/src/net/control/list_stream.h
@@ -51,6 +51,8 @@
 
   // Queries.
 
+  // The control VM that the current stream follows, or the last one.
+  const Endpoint& control() const { return this->current_control; }
   // The index of the newest lists according to the last heartbeat of the
   // current stream. Absent if there is no stream or if its control VM is not in
   // contact with a quorum.
