Probe a data centre whose entry VMs are silent before it counts as cut off

Cause: four silent aggregators within one request cut a data centre off, because a root rarely has an answer that is younger than 300 ms. Change: three failures of entry VMs without an answer cause four probes at the next tick; only unanswered probes count.

--- a/src/policy/backend_directory.cc
+++ b/src/policy/backend_directory.cc
@@ -29,6 +29,9 @@
 // again.
 constexpr std::uint32_t kCutOffAttempts = 4;
 constexpr Duration kCutOffAfter = std::chrono::milliseconds(300);
+// After this many failures of entry VMs in a data centre, its servers are
+// probed.
+constexpr std::uint32_t kSuspiciousPeerFailures = 3;
 constexpr Duration kProbeInterval = std::chrono::milliseconds(250);
 
 // The time for which a server is blocked if another one listens at its address.
@@ -190,6 +193,7 @@
   }
   data_centre.last_answer_at = now;
   data_centre.unanswered_attempts = 0;
+  data_centre.peer_failures = 0;
 }
 
 void BackendDirectory::OnPeerOutcome(MonotonicTime now,
@@ -199,11 +203,7 @@
     this->RecordDataCentreAnswer(now, data_centre);
     return;
   }
-  DataCentre& observed = this->data_centres[data_centre];
-  ++observed.unanswered_attempts;
-  if (this->IsCutOff(now, data_centre)) {
-    observed.next_probe_at = now + kProbeInterval;
-  }
+  ++this->data_centres[data_centre].peer_failures;
 }
 
 void BackendDirectory::ClearDataCentreFailures(
@@ -365,19 +365,26 @@
   return std::nullopt;
 }
 
-std::vector<ServerIndex> BackendDirectory::ProbeTargets(
-    MonotonicTime now) const {
-  std::unordered_map<DataCentreId, ServerIndex> targets;
-  for (std::size_t i = 0; i < this->servers.size(); ++i) {
-    const Server& server = this->servers[i];
-    if (server.is_usable && this->IsCutOff(now, server.listed.data_centre)) {
-      targets[server.listed.data_centre] = ServerIndex(i + 1);
+std::vector<ServerIndex> BackendDirectory::TakeProbeTargets(MonotonicTime now) {
+  std::unordered_map<DataCentreId, std::size_t> wanted;
+  for (auto& [id, data_centre] : this->data_centres) {
+    if (this->IsCutOff(now, id)) {
+      wanted[id] = 1;
+    } else if (data_centre.peer_failures >= kSuspiciousPeerFailures) {
+      wanted[id] = kCutOffAttempts;
     }
+    data_centre.peer_failures = 0;
   }
   std::vector<ServerIndex> probes;
-  probes.reserve(targets.size());
-  for (const auto& [data_centre, server] : targets) {
-    probes.push_back(server);
+  for (std::size_t i = 0; i < this->servers.size() && !wanted.empty(); ++i) {
+    const Server& server = this->servers[i];
+    const auto found = wanted.find(server.listed.data_centre);
+    if (server.is_usable && found != wanted.end()) {
+      probes.push_back(ServerIndex(i + 1));
+      if (--found->second == 0) {
+        wanted.erase(found);
+      }
+    }
   }
   return probes;
 }
--- a/src/policy/backend_directory.h
+++ b/src/policy/backend_directory.h
@@ -149,12 +149,18 @@
                           Duration typical_latency,
                           bool was_answered);
 
-  // Records whether an entry VM in a data centre answered. It shows whether the
-  // data centre is reachable, like an answer of one of its servers.
+  // Records whether an entry VM in a data centre answered. An answer shows that
+  // the data centre is reachable. Several failures in a row without one cause
+  // probes, because the entry VMs may only be slow.
   void OnPeerOutcome(MonotonicTime now,
                      const DataCentreId& data_centre,
                      bool was_answered);
 
+  // Returns the servers to probe: one of each data centre that is cut off,
+  // because without requests only a probe shows that it is reachable again, and
+  // several of each one whose entry VMs have failed to answer.
+  std::vector<ServerIndex> TakeProbeTargets(MonotonicTime now);
+
   // Queries.
 
   // The server as last listed by the platform. The reference is valid until the
@@ -179,9 +185,6 @@
   // The server of the service with this id. Absent if no such server is listed.
   std::optional<ServerIndex> FindServer(const ServiceId& service,
                                         const BackendServerId& server) const;
-  // Returns one server of each data centre that is cut off. Without requests,
-  // only a probe shows that the data centre is reachable again.
-  std::vector<ServerIndex> ProbeTargets(MonotonicTime now) const;
   // True if at least one data centre is cut off, which means that none of its
   // servers answers.
   bool HasCutOffDataCentre(MonotonicTime now) const;
@@ -218,6 +221,8 @@
     MonotonicTime last_answer_at;
     // The number of attempts that ended unanswered since `last_answer_at`.
     std::uint32_t unanswered_attempts = 0;
+    // The failures of entry VMs since `last_answer_at` or the last probes.
+    std::uint32_t peer_failures = 0;
     MonotonicTime next_probe_at;
   };
 
--- a/src/programs/forward_process.h
+++ b/src/programs/forward_process.h
@@ -246,7 +246,7 @@
     const auto probes = this->backends.Access([&](BackendDirectory& directory) {
       directory.SetRetryBudgetShare(share);
       new_hints.hints = directory.TakeHints(now);
-      return directory.ProbeTargets(now);
+      return directory.TakeProbeTargets(now);
     });
     if (!new_hints.hints.empty()) {
       this->control.SendHints(std::move(new_hints));
