--- a/src/net/fan_out/group_call.h
+++ b/src/net/fan_out/group_call.h
@@ -13,7 +13,6 @@
 #include "src/net/forward/forward_run.h"
 #include "src/policy/fan_out/group_progress.h"
 #include "src/policy/record_merge.h"
-#include "src/tables/aggregator_table.h"
 #include "src/wire/fan_out_messages.h"
 
 namespace marigold {
@@ -27,11 +26,9 @@
   using ReportHandler = std::function<void(GroupReport)>;
 
   GroupCall(CallContext& call_context,
-            AggregatorTable& aggregator_table,
             GroupQuery group_query,
             ReportHandler report_handler)
       : context(call_context),
-        aggregators(aggregator_table),
         query(std::move(group_query)),
         on_report(std::move(report_handler)),
         is_shard_failed(query.shards.size()) {}
@@ -71,10 +68,6 @@
         std::move(plan), std::move(handlers));
     this->UpdateTimer();
     this->run->Start();
-    const Duration elapsed = this->Now() - now;
-    this->aggregators.Access([&](AggregatorDirectory& directory) {
-      directory.AddBurst(this->query.shards.size(), elapsed);
-    });
   }
 
   // Ends the call without a further report. If `is_answered` is false, its
@@ -258,7 +251,6 @@
   }
 
   CallContext& context;
-  AggregatorTable& aggregators;
   GroupQuery query;
   ReportHandler on_report;
   // By shard: true if its failure has been reported.
--- a/src/net/fan_out/group_query_server.h
+++ b/src/net/fan_out/group_query_server.h
@@ -21,8 +21,8 @@
 class GroupQueryServer
     : public std::enable_shared_from_this<GroupQueryServer<MessageCodec>> {
  public:
-  GroupQueryServer(CallContext& call_context, AggregatorTable& aggregator_table)
-      : context(call_context), aggregators(aggregator_table) {}
+  explicit GroupQueryServer(CallContext& call_context)
+      : context(call_context) {}
 
   // Serves an accepted connection until it closes.
   void Serve(boost::asio::ip::tcp::socket socket) {
@@ -101,7 +101,7 @@
       return;
     }
     const auto call = std::make_shared<GroupCall<MessageCodec>>(
-        this->context, this->aggregators, std::move(query),
+        this->context, std::move(query),
         [weak = this->weak_from_this(), link, id](GroupReport report) {
           if (const auto self = weak.lock()) {
             self->OnReport(link, id, std::move(report));
@@ -177,7 +177,6 @@
   }
 
   CallContext& context;
-  AggregatorTable& aggregators;
   std::unordered_map<PeerLink*, Client> clients;
   std::size_t call_count = 0;
   bool is_draining = false;
--- a/src/net/fan_out/grouped_call.h
+++ b/src/net/fan_out/grouped_call.h
@@ -15,6 +15,7 @@
 #include "src/net/fan_out/group_call.h"
 #include "src/net/forward/call_end.h"
 #include "src/policy/fan_out/grouped_search.h"
+#include "src/tables/aggregator_table.h"
 
 namespace marigold {
 
@@ -151,8 +152,7 @@
 
   void BeginLocal(const StartQuery& step) {
     auto call = std::make_shared<GroupCall<MessageCodec>>(
-        this->context, this->fan_out.aggregators,
-        this->MakeQuery(step, Duration::zero()),
+        this->context, this->MakeQuery(step, Duration::zero()),
         // Posted, because the call may report while a step is carried out.
         [strand = this->context.strand,
          handler = this->MakeReportHandler(step.query)](GroupReport report) {
--- a/src/net/forward/forwarded_call.h
+++ b/src/net/forward/forwarded_call.h
@@ -44,8 +44,6 @@
     this->run->Start();
   }
 
-  std::size_t target_count() const { return this->plan.targets.size(); }
-
   // Called when the caller has closed its connection. Nothing is answered, and
   // the work at backend servers is cancelled.
   void OnCallerDisconnected() {
--- a/src/net/forward/forwarder.h
+++ b/src/net/forward/forwarder.h
@@ -4,7 +4,6 @@
 #include <functional>
 #include <memory>
 #include <string_view>
-#include <type_traits>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -44,9 +43,8 @@
                      forward_context.metrics},
         fan_out_context{forward_context.aggregators,
                         std::make_shared<AggregatorLinks>(strand)},
-        query_server(std::make_shared<GroupQueryServer<MessageCodec>>(
-            call_context,
-            forward_context.aggregators)),
+        query_server(
+            std::make_shared<GroupQueryServer<MessageCodec>>(call_context)),
         started_at(strand->Now()) {}
 
   CallerHandlers CreateHandlers() {
@@ -215,15 +213,7 @@
   template <class Call>
   void StartCall(const std::shared_ptr<Call>& call, const SessionPtr& session) {
     this->calls[session.get()] = [call] { call->OnCallerDisconnected(); };
-    const MonotonicTime began_at = this->call_context.strand->Now();
     call->Start();
-    if constexpr (std::is_same_v<Call, ForwardedCall<MessageCodec>>) {
-      const Duration elapsed = this->call_context.strand->Now() - began_at;
-      this->fan_out_context.aggregators.Access(
-          [&](AggregatorDirectory& directory) {
-            directory.AddBurst(call->target_count(), elapsed);
-          });
-    }
   }
 
   void OnDisconnected(const SessionPtr& session) {
--- a/src/policy/fan_out/aggregator_directory.cc
+++ b/src/policy/fan_out/aggregator_directory.cc
@@ -38,10 +38,10 @@
 
 AggregatorDirectory::AggregatorDirectory(VmId own_vm,
                                          DataCentreId home_data_centre,
-                                         FanOutMode fan_out_mode)
+                                         FanOutSettings fan_out_settings)
     : vm(std::move(own_vm)),
       own_data_centre(std::move(home_data_centre)),
-      mode(fan_out_mode) {}
+      settings(fan_out_settings) {}
 
 void AggregatorDirectory::Apply(const AggregatorUpdate& update) {
   if (update.is_full) {
--- a/src/policy/fan_out/aggregator_directory.h
+++ b/src/policy/fan_out/aggregator_directory.h
@@ -27,7 +27,7 @@
  public:
   AggregatorDirectory(VmId own_vm,
                       DataCentreId own_data_centre,
-                      FanOutMode fan_out_mode = FanOutMode::kAutomatic);
+                      FanOutSettings fan_out_settings = {});
 
   // Commands.
 
@@ -53,11 +53,6 @@
       const ShardGroup& group,
       std::span<const AggregatorIndex> excluded);
 
-  // Adds the costs of a burst of sends; see `FanOutCost`.
-  void AddBurst(std::size_t sends, Duration elapsed) {
-    this->cost.AddBurst(sends, elapsed);
-  }
-
   // Queries.
 
   // True if the data centre has aggregators.
@@ -71,9 +66,7 @@
   // True if a fan-out over this number of shards should go through aggregators.
   bool PrefersGroups(std::size_t shard_count) const {
     return !this->members_by_data_centre.empty() &&
-           this->mode != FanOutMode::kDirect &&
-           (this->mode == FanOutMode::kGroups ||
-            this->cost.PrefersGroups(shard_count));
+           marigold::PrefersGroups(this->settings, shard_count);
   }
   const Aggregator& At(AggregatorIndex index) const {
     return this->members[index.value()].aggregator;
@@ -109,7 +102,7 @@
 
   VmId vm;
   DataCentreId own_data_centre;
-  FanOutMode mode;
+  FanOutSettings settings;
   std::vector<Member> members;
   std::unordered_map<VmId, AggregatorIndex> index_by_vm;
   std::unordered_map<DataCentreId, std::vector<AggregatorIndex>>
@@ -117,7 +110,6 @@
   // Computed when first needed, and dropped when the set changes.
   std::unordered_map<GroupKey, Candidates> candidates;
   std::unordered_map<RouteName, LatencyDigest> report_latencies;
-  FanOutCost cost;
 };
 
 }  // namespace marigold
--- a/src/policy/fan_out/fan_out_cost.h
+++ b/src/policy/fan_out/fan_out_cost.h
@@ -18,26 +18,16 @@
   kGroups,
 };
 
-// Decides from measured costs whether a fan-out is worth the second level.
-// Not synchronised.
-class FanOutCost {
- public:
-  // Commands.
-
-  // Records that this process began `sends` sends in `elapsed`.
-  void AddBurst(std::size_t sends, Duration elapsed);
-
-  // Queries.
-
-  // True if a fan-out over this number of shards is expected to be answered
-  // clearly sooner through aggregators than by sends of this process alone.
-  bool PrefersGroups(std::size_t shard_count) const;
-
- private:
-  // The time in which this VM begins one send or handles its reply.
-  Duration time_per_send = std::chrono::microseconds(200);
+struct FanOutSettings {
+  FanOutMode mode = FanOutMode::kAutomatic;
+  // The fraction of a core that this VM may use.
+  Fraction processor_share{1};
 };
 
+// True if a fan-out over this number of shards should go through aggregators.
+// In automatic mode, these have to answer it in half the time.
+bool PrefersGroups(const FanOutSettings& settings, std::size_t shard_count);
+
 }  // namespace marigold
 
 #endif  // SRC_POLICY_FAN_OUT_FAN_OUT_COST_H_
--- a/src/programs/forward_process.h
+++ b/src/programs/forward_process.h
@@ -36,7 +36,7 @@
         backends(ToDirectorySettings(process_settings)),
         aggregators(VmId(process_settings.vm),
                     DataCentreId(process_settings.data_centre),
-                    ToFanOutMode(process_settings.fan_out)),
+                    ToFanOutSettings(process_settings)),
         pool(process_settings.workers),
         control(pool, lists, listing, ToControlSettings(process_settings)) {}
 
@@ -92,11 +92,15 @@
     return directory;
   }
 
-  static FanOutMode ToFanOutMode(const std::string& name) {
-    if (name == "direct") {
-      return FanOutMode::kDirect;
+  static FanOutSettings ToFanOutSettings(const ForwardSettings& settings) {
+    FanOutSettings fan_out;
+    fan_out.processor_share = Fraction(settings.cpu_share);
+    if (settings.fan_out == "direct") {
+      fan_out.mode = FanOutMode::kDirect;
+    } else if (settings.fan_out == "groups") {
+      fan_out.mode = FanOutMode::kGroups;
     }
-    return name == "groups" ? FanOutMode::kGroups : FanOutMode::kAutomatic;
+    return fan_out;
   }
 
   static ReplyLimits ToReplyLimits(const ForwardSettings& settings) {
--- a/src/programs/forward_settings.cc
+++ b/src/programs/forward_settings.cc
@@ -37,6 +37,9 @@
                   {"automatic", "direct", "groups"},
                   "How queries over many shards are sent: by this VM alone, "
                   "through other entry VMs, or as is expected to be faster.");
+  table.AddDecimal("cpu-share", settings.cpu_share, 0.001, 64, "cores",
+                   "Part of a core that this VM may use. Decides together with "
+                   "the number of shards how queries are sent.");
   table.AddChoice("log-level", settings.log_level,
                   {"debug", "info", "warning", "error", "off"},
                   "Lines below this level are not logged.");
--- a/src/programs/forward_settings.h
+++ b/src/programs/forward_settings.h
@@ -22,6 +22,8 @@
   Endpoint aggregator{};
   // "automatic", "direct" or "groups"; see `FanOutMode`.
   std::string fan_out = "automatic";
+  // The fraction of a core that this VM may use.
+  double cpu_share = 1;
   // The path of the readiness check on the address `admin`.
   std::string ready_path = "/ready";
   std::vector<Endpoint> controls;
--- a/src/tables/aggregator_table.h
+++ b/src/tables/aggregator_table.h
@@ -13,8 +13,8 @@
  public:
   AggregatorTable(VmId vm,
                   DataCentreId data_centre,
-                  FanOutMode mode = FanOutMode::kAutomatic)
-      : directory(std::move(vm), std::move(data_centre), mode) {}
+                  FanOutSettings settings = {})
+      : directory(std::move(vm), std::move(data_centre), settings) {}
 
   // Runs `body` on the directory under the lock and returns its result.
   template <class Body>
--- a/tests/shard_groups_test.cc
+++ b/tests/shard_groups_test.cc
@@ -15,8 +15,6 @@
 
 namespace {
 
-using std::chrono::microseconds;
-
 // Shards whose replicas stand in three consecutive data centres of a ring.
 std::vector<PlannedDataCentre> RingPlacement(std::size_t shard_count,
                                              std::size_t data_centre_count) {
@@ -142,20 +140,25 @@
 namespace {
 
 struct CostRow {
+  FanOutMode mode;
   std::size_t shards;
-  Duration time_per_send;
+  double processor_share;
   bool expected;
 };
 
 const CostRow kCostRows[] = {
-    // One server, a small fan-out, and a fast VM.
-    {1, microseconds(500), false},
-    {10, microseconds(400), false},
-    {36, microseconds(20), false},
-    // A slow VM, and a large fan-out on a fast one.
-    {36, microseconds(1000), true},
-    {90, microseconds(1000), true},
-    {190, microseconds(40), true},
+    // One server, small fan-outs, and a medium one on a whole core.
+    {FanOutMode::kAutomatic, 1, 0.1, false},
+    {FanOutMode::kAutomatic, 10, 0.17, false},
+    {FanOutMode::kAutomatic, 15, 0.17, false},
+    {FanOutMode::kAutomatic, 36, 1, false},
+    // Slow VMs, and a large fan-out on a whole core.
+    {FanOutMode::kAutomatic, 36, 0.084, true},
+    {FanOutMode::kAutomatic, 90, 0.12, true},
+    {FanOutMode::kAutomatic, 190, 1, true},
+    // Set by the operator.
+    {FanOutMode::kDirect, 90, 0.12, false},
+    {FanOutMode::kGroups, 2, 1, true},
 };
 
 }  // namespace
@@ -168,11 +171,9 @@
 // against a long sequence of sends on a slow VM.
 ParameterizedTest(std::size_t* index, FanOutCost, PrefersGroupsIfTheySaveTime) {
   const CostRow& row = kCostRows[*index];
-  FanOutCost cost;
-  for (int burst = 0; burst < 100; ++burst) {
-    cost.AddBurst(10, 10 * row.time_per_send);
-  }
-  cr_assert_eq(cost.PrefersGroups(row.shards), row.expected, "row %zu", *index);
+  const bool actual =
+      PrefersGroups({row.mode, Fraction(row.processor_share)}, row.shards);
+  cr_assert_eq(actual, row.expected, "row %zu", *index);
 }
 
 }  // namespace marigold
