--- a/src/net/control/control_client.cc
+++ b/src/net/control/control_client.cc
@@ -18,7 +18,10 @@
 // follows no control VM in contact with a quorum.
 constexpr Duration kPeerRequestInterval = std::chrono::seconds(1);
 
-// Interval between requests for the leader's lists while the client starts.
+// In this time a stream usually brings the lists after the start.
+constexpr Duration kStreamStartTime = std::chrono::milliseconds(200);
+
+// Interval between requests for the leader's index while the client starts.
 constexpr Duration kConfirmationInterval = std::chrono::milliseconds(50);
 
 }  // namespace
@@ -96,13 +99,21 @@
   }
 
   // Asks for the leader's reply until it has come. When all VMs start together,
-  // the replies to the first requests come before there is a leader.
+  // the replies to the first requests come before there is a leader. Requests
+  // lists that the stream will not bring, because its control VM lacks them.
   void RequestConfirmation() {
     if (this->has_synchronised) {
       return;
     }
-    if (this->stream && this->stream->confirmed_index() &&
-        !this->sharing->has_leader_reply()) {
+    const auto streamed_index =
+        this->stream ? this->stream->confirmed_index() : std::nullopt;
+    const bool is_stream_behind = streamed_index.value_or(LogIndex()) <
+                                  this->sharing->highest_reported_index();
+    if (is_stream_behind &&
+        this->clock.Now() - this->started_at >= kStreamStartTime) {
+      this->sharing->RequestNewest();
+    }
+    if (streamed_index && !this->sharing->has_leader_reply()) {
       this->sharing->RequestConfirmation(this->stream->control());
     }
     this->confirmation_timer = this->queue.After(
--- a/src/net/control/list_sharing.cc
+++ b/src/net/control/list_sharing.cc
@@ -1,6 +1,7 @@
 #include "src/net/control/list_sharing.h"
 
-#include <algorithm>
+#include <cstdint>
+#include <limits>
 #include <optional>
 #include <string>
 #include <utility>
@@ -67,18 +68,25 @@
 void ListSharing::RequestFromAll() {
   this->has_requested_all = true;
   for (const Endpoint& control : this->settings.controls) {
-    this->RequestLists(control, {true, kMaxRedirects});
+    this->RequestLists(control, {true, true, kMaxRedirects});
   }
   for (const Endpoint& peer : this->settings.peers) {
     if (peer != this->settings.listen) {
-      this->RequestLists(peer, {true, 0});
+      this->RequestLists(peer, {true, false, 0});
     }
   }
 }
 
 void ListSharing::RequestConfirmation(const Endpoint& control) {
   if (this->pending_confirmations == 0) {
-    this->RequestLists(control, {false, kMaxRedirects});
+    this->RequestLists(control, {false, true, kMaxRedirects});
+  }
+}
+
+void ListSharing::RequestNewest() {
+  if (this->pending_confirmations == 0 &&
+      this->table.index() < this->max_reported_index) {
+    this->RequestLists(this->newest_holder, {});
   }
 }
 
@@ -96,19 +104,27 @@
 void ListSharing::RequestLists(const Endpoint& endpoint, Request request) {
   ++(request.is_initial ? this->pending_initial_calls
                         : this->pending_confirmations);
-  CallOnce(this->pool, endpoint, ReadLists{CallId(1), this->table.index()},
+  // A reply contains the lists only if they are newer than this index.
+  const LogIndex known_index =
+      request.is_index_only
+          ? LogIndex(std::numeric_limits<std::uint64_t>::max())
+          : this->table.index();
+  CallOnce(this->pool, endpoint, ReadLists{CallId(1), known_index},
            kRequestTimeout,
-           [weak = this->weak_from_this(), serial_queue = this->queue,
+           [weak = this->weak_from_this(), serial_queue = this->queue, endpoint,
             request](CallOutcome outcome) {
-             serial_queue.Post([weak, outcome = std::move(outcome), request] {
-               if (const auto self = weak.lock()) {
-                 self->OnOutcome(outcome, request);
-               }
-             });
+             serial_queue.Post(
+                 [weak, endpoint, outcome = std::move(outcome), request] {
+                   if (const auto self = weak.lock()) {
+                     self->OnOutcome(endpoint, outcome, request);
+                   }
+                 });
            });
 }
 
-void ListSharing::OnOutcome(const CallOutcome& outcome, Request request) {
+void ListSharing::OnOutcome(const Endpoint& endpoint,
+                            const CallOutcome& outcome,
+                            Request request) {
   --(request.is_initial ? this->pending_initial_calls
                         : this->pending_confirmations);
   const auto* message = std::get_if<ControlMessage>(&outcome);
@@ -119,9 +135,12 @@
     // The reply of the leader makes the others unnecessary.
     if (reply->leader && request.redirects > 0 && !this->did_leader_reply) {
       this->RequestLists(*reply->leader,
-                         {request.is_initial, request.redirects - 1});
+                         {request.is_initial, true, request.redirects - 1});
+    }
+    if (reply->index > this->max_reported_index) {
+      this->max_reported_index = reply->index;
+      this->newest_holder = endpoint;
     }
-    this->max_reported_index = std::max(this->max_reported_index, reply->index);
     if (reply->full_lists) {
       this->table.Apply(
           this->clock.Now(),
--- a/src/net/control/list_sharing.h
+++ b/src/net/control/list_sharing.h
@@ -38,13 +38,20 @@
   // have no address.
   Result<void> Listen();
 
-  // Requests the lists once from every control VM and every other entry VM.
+  // Asks every control VM once for the index of its lists, and every other
+  // entry VM for its lists. The stream from a control VM brings the lists
+  // themselves, so that they need not be sent several times.
   void RequestFromAll();
 
-  // Requests the lists from a control VM, and from the leader that its reply
+  // Asks a control VM for the index of its lists, and the leader that its reply
   // names. Does nothing while such a request is in progress.
   void RequestConfirmation(const Endpoint& control);
 
+  // Requests the lists from the VM that has reported the highest index, if that
+  // is newer than the lists of this VM. Does nothing while such a request is in
+  // progress.
+  void RequestNewest();
+
   // Requests the lists from a random entry VM. Does nothing if the settings
   // name none, or if the chosen one is this VM.
   void RequestFromOnePeer();
@@ -66,12 +73,16 @@
   struct Request {
     // True for a request of `RequestFromAll`.
     bool is_initial = false;
+    // True if the reply need not contain the lists.
+    bool is_index_only = false;
     // The number of times that the leader which a reply names is asked too.
     int redirects = 0;
   };
 
   void RequestLists(const Endpoint& endpoint, Request request);
-  void OnOutcome(const CallOutcome& outcome, Request request);
+  void OnOutcome(const Endpoint& endpoint,
+                 const CallOutcome& outcome,
+                 Request request);
   void Serve(const std::shared_ptr<FramedConnection>& connection);
 
   WorkerPool& pool;
@@ -87,6 +98,8 @@
   bool has_requested_all = false;
   bool did_leader_reply = false;
   LogIndex max_reported_index;
+  // The VM that has reported `max_reported_index`.
+  Endpoint newest_holder;
 };
 
 }  // namespace marigold
--- a/src/net/fan_out/group_call.h
+++ b/src/net/fan_out/group_call.h
@@ -31,11 +31,11 @@
       : context(call_context),
         query(std::move(group_query)),
         on_report(std::move(report_handler)),
-        is_shard_failed(query.shards.size()) {}
+        is_shard_failed(query.shards.size()),
+        timer(call_context.strand) {}
 
   GroupCall(const GroupCall&) = delete;
   GroupCall& operator=(const GroupCall&) = delete;
-  ~GroupCall() { this->StopTimer(); }
 
   void Start() {
     const MonotonicTime now = this->Now();
@@ -76,7 +76,7 @@
     if (!std::exchange(this->is_finished, true)) {
       this->LogFailures();
     }
-    this->StopTimer();
+    this->timer.Stop();
     this->run->Abandon(is_answered ? ForwardState::kAnswered
                                    : ForwardState::kFailed);
   }
@@ -113,27 +113,15 @@
 
   void UpdateTimer() {
     const MonotonicTime due_at = this->progress->NextDue();
-    if (this->timer && this->timer->first == due_at) {
-      return;
-    }
-    this->StopTimer();
     if (due_at == MonotonicTime::max()) {
+      this->timer.Stop();
       return;
     }
-    this->timer =
-        this->context.strand->RunAt(due_at, [weak = this->weak_from_this()] {
-          if (const auto self = weak.lock()) {
-            self->timer.reset();
-            self->OnProgress();
-          }
-        });
-  }
-
-  void StopTimer() {
-    if (this->timer) {
-      this->context.strand->Cancel(*this->timer);
-      this->timer.reset();
-    }
+    this->timer.Set(due_at, [weak = this->weak_from_this()] {
+      if (const auto self = weak.lock()) {
+        self->OnProgress();
+      }
+    });
   }
 
   void OnProgress() {
@@ -168,7 +156,7 @@
   void Report(GroupReport report) {
     if (report.is_final) {
       this->is_finished = true;
-      this->StopTimer();
+      this->timer.Stop();
       this->LogFailures();
     }
     this->on_report(std::move(report));
@@ -257,7 +245,7 @@
   std::vector<bool> is_shard_failed;
   std::optional<GroupProgress> progress;
   std::shared_ptr<ForwardRun<MessageCodec>> run;
-  std::optional<Strand::TimerKey> timer;
+  StrandTimer timer;
   bool is_finished = false;
 };
 
--- a/src/net/fan_out/grouped_call.h
+++ b/src/net/fan_out/grouped_call.h
@@ -44,7 +44,8 @@
         max_records(top_records),
         search(std::move(plan),
                call_context.backends,
-               fan_out_context.aggregators) {}
+               fan_out_context.aggregators),
+        timer(call_context.strand) {}
 
   void Start() { this->RunSteps(this->search.Start(this->Now())); }
 
@@ -77,17 +78,11 @@
   }
 
   void RunStep(const SetForwardTimer& step) {
-    if (this->timer && this->timer->first == step.at) {
-      return;
-    }
-    this->StopTimer();
-    this->timer =
-        this->context.strand->RunAt(step.at, [weak = this->weak_from_this()] {
-          if (const auto self = weak.lock()) {
-            self->timer.reset();
-            self->RunSteps(self->search.OnTimer(self->Now()));
-          }
-        });
+    this->timer.Set(step.at, [weak = this->weak_from_this()] {
+      if (const auto self = weak.lock()) {
+        self->RunSteps(self->search.OnTimer(self->Now()));
+      }
+    });
   }
 
   // Records a query that was not answered in time or whose link was lost.
@@ -199,7 +194,7 @@
 
   void Finish() {
     this->is_finished = true;
-    this->StopTimer();
+    this->timer.Stop();
     const ForwardPlan& plan = this->search.request_plan();
     const ForwardState state = this->search.state();
     CallSummary summary{{},
@@ -236,13 +231,6 @@
         closes_connection);
   }
 
-  void StopTimer() {
-    if (this->timer) {
-      this->context.strand->Cancel(*this->timer);
-      this->timer.reset();
-    }
-  }
-
   CallContext& context;
   FanOutContext& fan_out;
   CallerSide caller;
@@ -252,7 +240,7 @@
   // By query; empty once a query has ended.
   std::vector<std::optional<RunningQuery>> running;
   CallLog call_log;
-  std::optional<Strand::TimerKey> timer;
+  StrandTimer timer;
   bool is_finished = false;
 };
 
--- a/src/net/forward/forward_run.h
+++ b/src/net/forward/forward_run.h
@@ -67,7 +67,8 @@
         forwarding(std::move(plan),
                    call_context.backends,
                    LeastExpectedDelay(),
-                   call_context.strand->random()) {}
+                   call_context.strand->random()),
+        timer(call_context.strand) {}
 
   // Commands.
 
@@ -119,23 +120,17 @@
       std::visit([this](const auto& typed) { this->RunStep(typed); }, step);
     }
     if (this->forwarding.state() != ForwardState::kRunning) {
-      this->StopTimer();
+      this->timer.Stop();
     }
     this->handlers.on_progress();
   }
 
   void RunStep(const SetForwardTimer& step) {
-    if (this->timer && this->timer->first == step.at) {
-      return;
-    }
-    this->StopTimer();
-    this->timer =
-        this->context.strand->RunAt(step.at, [weak = this->weak_from_this()] {
-          if (const auto self = weak.lock()) {
-            self->timer.reset();
-            self->RunSteps(self->forwarding.OnTimer(self->Now()));
-          }
-        });
+    this->timer.Set(step.at, [weak = this->weak_from_this()] {
+      if (const auto self = weak.lock()) {
+        self->RunSteps(self->forwarding.OnTimer(self->Now()));
+      }
+    });
   }
 
   void RunStep(const StartSend& step) {
@@ -272,13 +267,6 @@
         now - this->forwarding.request_plan().deadlines.started_at);
   }
 
-  void StopTimer() {
-    if (this->timer) {
-      this->context.strand->Cancel(*this->timer);
-      this->timer.reset();
-    }
-  }
-
   CallContext& context;
   EncodedRequest encoded;
   RunHandlers handlers;
@@ -290,7 +278,7 @@
   std::optional<BackendReply> last_error_reply;
   std::size_t sends_possibly_executed = 0;
   CallLog call_log;
-  std::optional<Strand::TimerKey> timer;
+  StrandTimer timer;
 };
 
 }  // namespace marigold
--- a/src/net/forward/strand.cc
+++ b/src/net/forward/strand.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
+#include <utility>
 
 namespace marigold {
 
@@ -56,4 +57,23 @@
   this->ArmTimer();
 }
 
+void StrandTimer::Set(MonotonicTime due, std::function<void()> task) {
+  if (this->key && this->key->first == due) {
+    return;
+  }
+  this->Stop();
+  this->key = this->strand->RunAt(due, [this, due_task = std::move(task)] {
+    this->key.reset();
+    // May destroy the timer, but not this function.
+    due_task();
+  });
+}
+
+void StrandTimer::Stop() {
+  if (this->key) {
+    this->strand->Cancel(*this->key);
+    this->key.reset();
+  }
+}
+
 }  // namespace marigold
--- a/src/net/forward/strand.h
+++ b/src/net/forward/strand.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <utility>
 
 #include "src/core/clock.h"
@@ -59,6 +60,27 @@
   MonotonicTime timer_due_at = MonotonicTime::max();
 };
 
+// A timer of one object on a strand. Stops when it is destroyed. Used only on
+// the strand.
+class StrandTimer {
+ public:
+  explicit StrandTimer(std::shared_ptr<Strand> owning_strand)
+      : strand(std::move(owning_strand)) {}
+  ~StrandTimer() { this->Stop(); }
+
+  StrandTimer(const StrandTimer&) = delete;
+  StrandTimer& operator=(const StrandTimer&) = delete;
+
+  // Runs `task` once, at `due`. Replaces an earlier task that is due at another
+  // time; one that is due at the same time is kept.
+  void Set(MonotonicTime due, std::function<void()> task);
+  void Stop();
+
+ private:
+  std::shared_ptr<Strand> strand;
+  std::optional<Strand::TimerKey> key;
+};
+
 }  // namespace marigold
 
 #endif  // SRC_NET_FORWARD_STRAND_H_
--- a/src/policy/backend_directory.h
+++ b/src/policy/backend_directory.h
@@ -241,6 +241,10 @@
     }
   };
 
+  // A data centre is cut off after this many consecutive unanswered attempts,
+  // if in addition none of its servers has answered for `kCutOffAfter`.
+  static constexpr std::uint32_t kCutOffAttempts = 4;
+  static constexpr Duration kCutOffAfter = std::chrono::milliseconds(300);
   // The size of the histograms in the latency digest of each route, in samples.
   static constexpr std::uint32_t kSamplesPerHistogram = 512;
 
--- a/src/policy/fan_out/grouped_search.h
+++ b/src/policy/fan_out/grouped_search.h
@@ -17,6 +17,7 @@
 #include "src/policy/fan_out/fan_out_types.h"
 #include "src/policy/fan_out/part_set.h"
 #include "src/policy/fan_out/search_outcome.h"
+#include "src/policy/fan_out/shard_attempts.h"
 #include "src/policy/fan_out/shard_groups.h"
 #include "src/policy/forward_timing.h"
 #include "src/policy/forward_types.h"
@@ -86,7 +87,7 @@
     std::vector<ShardPosition> unanswered = this->ApplyFailures(query, report);
     for (const LateShard& late : report.late) {
       const ShardPosition shard = query.shards[late.shard];
-      this->shards[shard].excluded = late.server;
+      this->shards[shard].Exclude(late.server);
       unanswered.push_back(shard);
     }
     if (report.is_final) {
@@ -114,11 +115,8 @@
     }
     if (loss == QueryLoss::kNotDelivered) {
       for (const ShardPosition position : query.shards) {
-        Shard& shard = this->shards[position];
-        shard.granted -= query.attempts;
-        --shard.deliveries;
-        // Another aggregator of the same data centre may be reachable.
-        shard.tried_data_centres.pop_back();
+        this->shards[position].OnNotDelivered(query.attempts,
+                                              query.data_centre);
       }
     }
     std::vector<ShardPosition> unanswered;
@@ -161,27 +159,16 @@
   std::size_t query_count() const { return this->queries.size(); }
   // True if a server may have run the request.
   bool MayHaveRun() const {
-    return std::any_of(this->shards.begin(), this->shards.end(),
-                       [](const Shard& shard) { return shard.granted > 0; });
+    return std::any_of(
+        this->shards.begin(), this->shards.end(),
+        [](const ShardAttempts& shard) { return shard.MayHaveRun(); });
   }
 
  private:
-  struct Shard {
-    // Attempts that queries may have used.
-    std::uint32_t granted = 0;
-    // Queries of which a server may have received the request. If there are
-    // any, another query is a retry.
-    std::uint32_t deliveries = 0;
-    // Queries in progress that may still answer the shard.
-    std::uint32_t open_queries = 0;
-    std::uint32_t queries = 0;
-    bool was_queried_here = false;
-    std::optional<BackendServerId> excluded;
-    std::vector<DataCentreId> tried_data_centres;
-  };
-
   struct Query {
     std::optional<AggregatorIndex> aggregator;
+    // The data centre of the aggregator.
+    DataCentreId data_centre;
     std::vector<ShardPosition> shards;
     // By shard of the query: true if the query can still answer it.
     std::vector<bool> is_shard_open;
@@ -201,9 +188,6 @@
     auto operator<=>(const QueryKind&) const = default;
   };
 
-  // After this many queries for a shard, this process queries it itself.
-  static constexpr std::uint32_t kMaxRemoteQueries = 2;
-
   Query& QueryAt(QueryIndex index) { return this->queries[index.value()]; }
 
   // Looks up what the choice of aggregators needs and counts the request for
@@ -238,13 +222,16 @@
       return;
     }
     std::map<QueryKind, std::vector<bool>> wanted_by_kind;
-    for (const ShardPosition shard : positions) {
-      if (this->CanQuery(shard) && this->TrySpendRetry(now, shard)) {
+    for (const ShardPosition position : positions) {
+      const ShardAttempts& shard = this->shards[position];
+      const std::uint32_t attempts =
+          shard.NextAttempts(this->plan.max_attempts);
+      if (attempts > 0 && !this->collected.IsAnswered(position) &&
+          this->TrySpendRetry(now, position)) {
         std::vector<bool>& wanted =
-            wanted_by_kind[{this->shards[shard].queries >= kMaxRemoteQueries,
-                            this->AttemptsFor(shard)}];
+            wanted_by_kind[{shard.IsNextQueryLocal(), attempts}];
         wanted.resize(this->shards.size());
-        wanted[shard] = true;
+        wanted[position] = true;
       }
     }
     for (const auto& [kind, wanted] : wanted_by_kind) {
@@ -285,31 +272,14 @@
   // server there is late or the whole data centre is unreachable.
   void ExcludeTried(DataCentreServices& services) const {
     for (std::size_t i = 0; i < this->shards.size(); ++i) {
-      const auto& tried = this->shards[i].tried_data_centres;
-      if (std::find(tried.begin(), tried.end(), services.data_centre) !=
-          tried.end()) {
+      if (this->shards[i].WasTried(services.data_centre)) {
         services.is_available[i] = false;
       }
     }
   }
 
-  bool CanQuery(ShardPosition position) const {
-    const Shard& shard = this->shards[position];
-    return !this->collected.IsAnswered(position) && !shard.was_queried_here &&
-           shard.granted < this->plan.max_attempts;
-  }
-
-  // The number of attempts for the next query of a shard. The first query
-  // leaves one attempt for the case that its aggregator falls silent.
-  std::uint32_t AttemptsFor(ShardPosition position) const {
-    const std::uint32_t left =
-        this->plan.max_attempts - this->shards[position].granted;
-    const bool is_first = this->shards[position].granted == 0;
-    return is_first ? std::max(left - 1, 1U) : left;
-  }
-
   bool TrySpendRetry(MonotonicTime now, ShardPosition position) {
-    return this->shards[position].deliveries == 0 ||
+    return !this->shards[position].IsNextQueryRetry() ||
            this->backends.Access([&](BackendDirectory& directory) {
              return directory.TrySpendRetry(now, this->plan.targets[position]);
            });
@@ -329,20 +299,13 @@
                     {},
                     attempts};
     for (const ShardPosition position : group.shards) {
-      Shard& shard = this->shards[position];
-      shard.granted += attempts;
-      ++shard.deliveries;
-      ++shard.open_queries;
-      ++shard.queries;
-      if (aggregator) {
-        shard.tried_data_centres.push_back(*group.data_centre);
-      } else {
-        shard.was_queried_here = true;
-      }
-      step.excluded.push_back(shard.excluded);
+      ShardAttempts& shard = this->shards[position];
+      shard.OnStarted(attempts, aggregator ? group.data_centre : std::nullopt);
+      step.excluded.push_back(shard.excluded());
     }
     Query query;
     query.aggregator = aggregator;
+    query.data_centre = group.data_centre.value_or(DataCentreId());
     query.is_shard_open.assign(group.shards.size(), true);
     query.shards = std::move(group.shards);
     query.attempts = attempts;
@@ -369,11 +332,8 @@
       }
       query.is_shard_open[failed.shard] = false;
       const ShardPosition position = query.shards[failed.shard];
-      Shard& shard = this->shards[position];
-      shard.granted -=
-          query.attempts - std::min(failed.possible_runs, query.attempts);
-      shard.deliveries -= failed.was_delivered ? 0 : 1;
-      --shard.open_queries;
+      this->shards[position].OnFailed(query.attempts, failed.possible_runs,
+                                      failed.was_delivered);
       failed_shards.push_back(position);
     }
     return failed_shards;
@@ -386,7 +346,7 @@
     for (std::size_t i = 0; i < query.shards.size(); ++i) {
       if (query.is_shard_open[i]) {
         query.is_shard_open[i] = false;
-        --this->shards[query.shards[i]].open_queries;
+        this->shards[query.shards[i]].OnEnded();
         unanswered.push_back(query.shards[i]);
       }
     }
@@ -421,12 +381,8 @@
   void RecordPeerOutcome(MonotonicTime now,
                          const Query& query,
                          bool was_answered) {
-    const DataCentreId data_centre =
-        this->aggregators.Access([&](const AggregatorDirectory& directory) {
-          return directory.At(*query.aggregator).data_centre;
-        });
     this->backends.Access([&](BackendDirectory& directory) {
-      directory.OnPeerOutcome(now, data_centre, was_answered);
+      directory.OnPeerOutcome(now, query.data_centre, was_answered);
     });
   }
 
@@ -438,7 +394,7 @@
     for (std::size_t i = 0; i < this->shards.size(); ++i) {
       exhausted_count +=
           !this->collected.IsAnswered(static_cast<ShardPosition>(i)) &&
-                  this->shards[i].open_queries == 0
+                  !this->shards[i].HasOpenQuery()
               ? 1
               : 0;
     }
@@ -484,7 +440,7 @@
   AggregatorTable& aggregators;
   // The time after which an aggregator without a report is silent.
   Duration silence_delay{};
-  std::vector<Shard> shards;
+  std::vector<ShardAttempts> shards;
   std::vector<Query> queries;
   // Aggregators that this request asks no more.
   std::vector<AggregatorIndex> failed_aggregators;
--- a/tests/control_client_test.cc
+++ b/tests/control_client_test.cc
@@ -77,6 +77,8 @@
   // them.
   int max_heartbeats = 1'000'000;
   std::atomic<int> subscriber_count = 0;
+  // The number of requests that were answered with the lists.
+  std::atomic<int> full_replies = 0;
 
  private:
   void Serve(const std::shared_ptr<FramedConnection>& connection) {
@@ -149,7 +151,10 @@
       ListsReply reply;
       reply.call = request.call;
       reply.index = this->lists->to;
-      reply.full_lists = this->lists->full_lists;
+      if (request.known_index < reply.index) {
+        reply.full_lists = this->lists->full_lists;
+        ++this->full_replies;
+      }
       reply.is_confirmed = this->leads;
       reply.leader = this->known_leader;
       this->pool.PostAfter(this->reply_delay,
@@ -320,6 +325,27 @@
                actual.c_str());
 }
 
+// Guards against a start of all VMs at which each of them gets the lists
+// several times, from control VMs of other data centres too.
+Test(ControlClient, GetsTheListsOnceIfTheStreamBringsThem) {
+  ListTable table;
+  WorkerPool pool(2);
+  ScriptedPeer first(pool, Address(1));
+  ScriptedPeer second(pool, Address(2));
+  first.lists = ListsAt(5);
+  second.lists = ListsAt(5);
+  ListingTable listing;
+  ControlClient client(pool, table, listing, TestClientSettings());
+  cr_assert(std::holds_alternative<bool>(Capture<bool>([&]() -> Result<bool> {
+    BOOST_LEAF_CHECK(client.Start());
+    return true;
+  })));
+  cr_assert(Await(pool, [&] { return client.is_synchronised(); }));
+  const int full_replies = first.full_replies + second.full_replies;
+  cr_assert_eq(full_replies, 0, "actual %d", full_replies);
+  pool.Stop();
+}
+
 // Guards against a start that waits for a VM that does not answer although the
 // leader has confirmed the lists. The settings do not name the leader.
 Test(ControlClient, LeaderReplyMakesOtherRepliesUnnecessary) {
