--- a/src/net/fan_out/peer_link.h
+++ b/src/net/fan_out/peer_link.h
@@ -51,7 +51,6 @@
 
   // The address of the peer, for logs.
   std::string remote_address() const;
-  bool is_closed() const { return this->state == State::kClosed; }
   // The time of the last message, or of the opening if that is later.
   MonotonicTime last_received_at() const { return this->received_at; }
 
--- a/src/policy/fan_out/grouped_search.h
+++ b/src/policy/fan_out/grouped_search.h
@@ -156,7 +156,6 @@
   const ForwardPlan& request_plan() const { return this->plan; }
   // The number of sends to backend servers that the reports have named.
   std::size_t send_count() const { return this->sends; }
-  std::size_t query_count() const { return this->queries.size(); }
   // True if a server may have run the request.
   bool MayHaveRun() const {
     return std::any_of(
