--- a/review/2/driver.cc
+++ b/review/2/driver.cc
@@ -23,7 +23,7 @@
 // garble, how = "extra late": share 0.6, x 0.03, for 5 s.
 constexpr double kMaxShareOfAnswers = 0.03;
 constexpr double kTroubleSeconds = 5;
-constexpr int kTroubles = 7;
+constexpr int kTroubles = 11;
 
 std::atomic<bool> trouble_is_on = false;
 std::atomic<long> stamp_counter = 0;
@@ -70,6 +70,7 @@
         continue;
       }
       ++this->answers;
+      this->answers_in_trouble += trouble_is_on ? 1 : 0;
       if (request.Field("x-expect-instance") != this->id) {
         WriteAll(fd, Answer(421, request, "s", "X-Not-Executed: 1\r\n", ""));
         continue;
@@ -85,7 +86,8 @@
         }
         if (this->has_trouble && trouble_is_on && is_order &&
             static_cast<double>(this->copies + 1) <=
-                kMaxShareOfAnswers * static_cast<double>(this->answers)) {
+                kMaxShareOfAnswers *
+                    static_cast<double>(this->answers_in_trouble)) {
           ++this->copies;
           ++late_copies;
           late_copy = rejection;
@@ -111,6 +113,7 @@
   }
 
   std::atomic<long> answers = 0;
+  std::atomic<long> answers_in_trouble = 0;
   std::atomic<long> copies = 0;
 
  private:
@@ -268,10 +271,11 @@
   }
   TheRecord().Say(Format(
       "orders sent %ld, served %ld, refused 503 %ld; fetches served %ld; "
-      "searcher i-01 gave %ld answers and %ld late second copies; orders that "
-      "ran more than once: %ld (0 allowed)",
+      "searcher i-01 gave %ld answers, %ld of them in trouble, and %ld late "
+      "second copies; orders that ran more than once: %ld (0 allowed)",
       orders_sent.load(), orders_served.load(), orders_refused.load(),
       fetches_served.load(), searchers[0]->answers.load(),
-      searchers[0]->copies.load(), doubled));
+      searchers[0]->answers_in_trouble.load(), searchers[0]->copies.load(),
+      doubled));
   End(deployment, doubled > 0 ? kBroken : kHeld);
 }
--- a/review/3/driver.cc
+++ b/review/3/driver.cc
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr int kOrderSearchers = 7;  // service obnova; one of them in trouble
+constexpr int kOrderSearchers = 8;  // service obnova; one of them in trouble
 constexpr int kPlanSearchers = 5;   // service trasy, always sound
 // The doses of srv_grey in the site: share 0.14, x 0.45, for 6.5 s.
 constexpr double kTroubleSeconds = 6.5;
