Send a request over a connection at most once

Cause: a server that had rejected an order because it was full sent a late second copy of the rejection. By then the order had been sent to it again, with the same id and over the same connection, so the copy passed for the answer to that send, and the order went to another server as well.

Change: a connection remembers the requests that it carried last and is not used for them again; another one is taken or opened. A copy that arrives on the old connection then meets another request's id or none, and closes it, as before. The check stands in BackendLinks, below single requests and groups of shards alike.

--- a/src/net/forward/backend_link.cc
+++ b/src/net/forward/backend_link.cc
@@ -96,6 +96,7 @@
     this->timer.reset();
   }
   this->exchange = std::move(next);
+  this->carried_requests.Add(this->exchange->request);
   this->state = State::kBusy;
   if (this->exchange->on_begin) {
     this->exchange->on_begin();
--- a/src/net/forward/backend_link.h
+++ b/src/net/forward/backend_link.h
@@ -1,15 +1,19 @@
 #ifndef SRC_NET_FORWARD_BACKEND_LINK_H_
 #define SRC_NET_FORWARD_BACKEND_LINK_H_
 
+#include <algorithm>
+#include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
 #include <variant>
 
+#include "src/core/ids.h"
 #include "src/core/settings_values.h"
 #include "src/net/forward/strand.h"
 #include "src/policy/backend_directory.h"
@@ -24,6 +28,8 @@
 using LinkOutcome = std::variant<BackendReply, SendFailure>;
 
 struct LinkExchange {
+  // The request's id, which all sends of one request share.
+  RequestId request;
   // The encoded request.
   std::string request_bytes;
   // The reply to a HEAD request has no body, whatever its Content-Length says.
@@ -69,6 +75,33 @@
   std::size_t used = 0;
 };
 
+// The requests that a connection has carried last.
+class CarriedRequests {
+ public:
+  void Add(const RequestId& request) {
+    this->hashes[this->next++ % this->hashes.size()] = HashOf(request);
+  }
+
+  bool Contains(const RequestId& request) const {
+    const auto end =
+        this->hashes.begin() + std::min(this->next, this->hashes.size());
+    return std::find(this->hashes.begin(), end, HashOf(request)) != end;
+  }
+
+ private:
+  // A late copy of a reply arrives with the next replies on its connection, not
+  // long after them.
+  static constexpr std::size_t kMaxRequests = 16;
+
+  static std::size_t HashOf(const RequestId& request) {
+    return std::hash<RequestId>()(request);
+  }
+
+  // Two requests with the same hash only cause an unnecessary connection.
+  std::array<std::size_t, kMaxRequests> hashes{};
+  std::size_t next = 0;
+};
+
 // One connection to a backend server. It carries one exchange at a time. Used
 // only on its strand.
 class BackendLink : public std::enable_shared_from_this<BackendLink> {
@@ -107,6 +140,13 @@
   // and for less than the limit after which the server may close it.
   bool IsUsable(MonotonicTime now, Duration max_idle) const;
 
+  // Returns true if the link has carried the request. It must not carry it
+  // again, because a late copy of the first reply would pass for the reply to
+  // the second send.
+  bool HasCarried(const RequestId& request) const {
+    return this->carried_requests.Contains(request);
+  }
+
  private:
   using ErrorCode = boost::system::error_code;
   using Parser =
@@ -156,6 +196,7 @@
   std::size_t counted_bytes = 0;
   // The replies to other requests that arrived during the exchange.
   std::size_t skipped_replies = 0;
+  CarriedRequests carried_requests;
   MonotonicTime free_since;
   // A free link is not used after it has been idle for this long. Derived from
   // the timeout in the server's Keep-Alive field, if it sends one.
--- a/src/net/forward/backend_links.cc
+++ b/src/net/forward/backend_links.cc
@@ -9,20 +9,33 @@
                                                  const Endpoint& endpoint,
                                                  Duration max_idle,
                                                  LinkExchange exchange) {
+  LinkPtr link = this->TakeFreeLink(server, max_idle, exchange.request);
+  if (link) {
+    link->Begin(std::move(exchange));
+    return link;
+  }
+  link = this->CreateLink(server);
+  link->Open(endpoint, std::move(exchange));
+  return link;
+}
+
+BackendLinks::LinkPtr BackendLinks::TakeFreeLink(ServerIndex server,
+                                                 Duration max_idle,
+                                                 const RequestId& request) {
   std::vector<LinkPtr>& candidates = this->free_links[server];
   const MonotonicTime now = this->strand->Now();
-  while (!candidates.empty()) {
-    LinkPtr link = std::move(candidates.back());
-    candidates.pop_back();
+  for (std::size_t i = candidates.size(); i-- > 0;) {
+    if (candidates[i]->HasCarried(request)) {
+      continue;
+    }
+    LinkPtr link = std::move(candidates[i]);
+    candidates.erase(candidates.begin() + static_cast<std::ptrdiff_t>(i));
     if (link->IsUsable(now, max_idle)) {
-      link->Begin(std::move(exchange));
       return link;
     }
     link->Close();
   }
-  LinkPtr link = this->CreateLink(server);
-  link->Open(endpoint, std::move(exchange));
-  return link;
+  return nullptr;
 }
 
 void BackendLinks::Open(ServerIndex server,
--- a/src/net/forward/backend_links.h
+++ b/src/net/forward/backend_links.h
@@ -25,8 +25,9 @@
   BackendLinks(const BackendLinks&) = delete;
   BackendLinks& operator=(const BackendLinks&) = delete;
 
-  // Begins an exchange on a link that has been free for less than `max_idle`,
-  // or on a new link. Returns the link that carries the exchange.
+  // Begins an exchange on a link that has been free for less than `max_idle`
+  // and has not carried the request before, or on a new link. Returns the link
+  // that carries the exchange.
   std::shared_ptr<BackendLink> Begin(ServerIndex server,
                                      const Endpoint& endpoint,
                                      Duration max_idle,
@@ -51,6 +52,11 @@
   using LinkPtr = std::shared_ptr<BackendLink>;
 
   LinkPtr CreateLink(ServerIndex server);
+  // Returns a free link that may carry the request, or null. Closes the links
+  // that it finds to be idle for too long.
+  LinkPtr TakeFreeLink(ServerIndex server,
+                       Duration max_idle,
+                       const RequestId& request);
 
   std::shared_ptr<Strand> strand;
   std::size_t max_body_bytes;
--- a/src/net/forward/forward_run.h
+++ b/src/net/forward/forward_run.h
@@ -140,6 +140,7 @@
         });
     this->context.metrics.OnSend(step.send.value() >= this->replies.size());
     LinkExchange exchange;
+    exchange.request = this->encoded.request;
     exchange.request_bytes = MessageCodec::WriteSend(
         this->encoded.send_template,
         {server.server, this->forwarding.deadline() - this->Now()});
--- a/tests/platform/platform_standin.cc
+++ b/tests/platform/platform_standin.cc
@@ -1,6 +1,9 @@
 // A stand-in for the platform's list and its backend servers, for tests that
 // run the real programs. A request whose path contains "/full" is refused as
 // not executed, and one whose path contains "/silent" runs without an answer.
+// If the path contains "/late-copy", each server refuses the request once. It
+// runs the request when that arrives again, and sends a copy of the refusal
+// before the answer if both arrive on the same connection.
 
 #include <fmt/format.h>
 
@@ -10,6 +13,7 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "src/core/log.h"
@@ -153,6 +157,18 @@
           false);
       return;
     }
+    std::string late_copy;
+    if (target.find("/late-copy") != std::string::npos) {
+      const std::string refusal =
+          FormatReply(server, request, 503, "X-Not-Executed: 1\r\n", "");
+      const auto [first, is_first] = this->first_sessions.try_emplace(
+          {FieldOf(request, "X-Request-Id"), server.id}, session);
+      if (is_first) {
+        session->Answer(refusal, false);
+        return;
+      }
+      late_copy = first->second.lock() == session ? refusal : "";
+    }
     this->record.Add(fmt::format("{} {} {}", FieldOf(request, "X-Request-Id"),
                                  server.service, server.id));
     if (target.find("/silent") != std::string::npos) {
@@ -160,7 +176,8 @@
     }
     // Two records of 16 bytes, followed by an incomplete record of 2 bytes.
     const std::string body(34, server.service.back());
-    session->Answer(FormatReply(server, request, 200, "", body), false);
+    session->Answer(late_copy + FormatReply(server, request, 200, "", body),
+                    false);
   }
 
   std::string FormatReply(const Server& server,
@@ -180,6 +197,10 @@
   std::vector<Server> servers;
   RequestLog record;
   std::atomic<std::uint64_t> last_stamp = 0;
+  // By request and server: the connection on which the request was refused.
+  // Used only on the one strand that all servers share.
+  std::map<std::pair<std::string, std::string>, std::weak_ptr<CallerSession>>
+      first_sessions;
   WorkerPool pool;
   std::vector<std::unique_ptr<CallerListener>> listeners;
   std::unique_ptr<HttpServer> list;
--- a/tests/process/platform_path.sh
+++ b/tests/process/platform_path.sh
@@ -40,10 +40,13 @@
   pids[c$1]=$!
   disown
 }
+# The window of the retry budget is short, because few retries are allowed in the
+# first window after a start.
 start_entry() {
   "$bin/marigold-platform-entry" --vm="e$1" --data-centre=dc1 \
     --listen=$net.1$1:8080 --admin=$net.1$1:8081 --seeds=$seeds \
     --internal-port=$port --server-list=127.52.2.1:7300 --stop-bound-s=6 \
+    --retry-window-s=0.1 \
     --fan-out="${2:-automatic}" >>"$work/e$1.log" 2>&1 &
   pids[e$1]=$!
   disown
@@ -160,6 +163,10 @@
 expect "an action is refused if all servers are full" 503 "$(send_request 1 a-2 /act/full -X POST -d x)"
 expect "the refused action did not run" 0 "$(run_count a-2)"
 expect "the refusal has a Retry-After header" 1 "$(grep -ci '^Retry-After:' "$work/header")"
+# A late copy of a refusal must not pass for the answer to the next send of the
+# action, which would then run on a second server.
+expect "an action is sent again after all servers refused it" 200 "$(send_request 2 a-4 /act/late-copy -X POST -d x)"
+expect "the action ran once in spite of late copies of the refusals" 1 "$(run_count a-4)"
 expect "an action without an answer times out" 504 "$(send_request 1 a-3 /act/silent -X POST -d x)"
 expect "the action without an answer was sent once" 1 "$(run_count a-3)"
 
