Answer every request before the end of a planned stop

Callers saw (report of another operator; shown here by platform_stop.sh): in a planned stop, requests were taken late in the grace and passed on, and their connections ended without an answer when the process exited. Three of four actions of the test were lost, each of which had run.

Cause: the deadline of a request came from its route and its caller alone, so a request with more time than the grace has left outlived the process.

Change: the process has a drain deadline from the signal on, 0.6 s before it would be killed. Deadlines of requests in flight are brought forward to it, later requests get no later one, and a request with less than its route's target latency left is refused at once as not run. The answers go out at the drain deadline, so none is left when the process exits.

--- a/src/net/fan_out/grouped_call.h
+++ b/src/net/fan_out/grouped_call.h
@@ -49,6 +49,11 @@
 
   void Start() { this->RunSteps(this->search.Start(this->Now())); }
 
+  // Answers the caller at `end` at the latest.
+  void EndBy(MonotonicTime end) {
+    this->RunSteps(this->search.EndBy(this->Now(), end));
+  }
+
   // Called when the caller has closed its connection. Nothing is answered, and
   // the work of the aggregators is cancelled.
   void OnCallerDisconnected() {
--- a/src/net/forward/forward_run.h
+++ b/src/net/forward/forward_run.h
@@ -74,6 +74,11 @@
 
   void Start() { this->RunSteps(this->forwarding.Start(this->Now())); }
 
+  // Brings the deadlines forward to `end`.
+  void EndBy(MonotonicTime end) {
+    this->RunSteps(this->forwarding.EndBy(this->Now(), end));
+  }
+
   // Ends the sends in flight. `end_state` is `kAnswered` if their replies may
   // still be read, and `kFailed` if the caller is gone.
   void Abandon(ForwardState end_state) {
--- a/src/net/forward/forwarded_call.h
+++ b/src/net/forward/forwarded_call.h
@@ -44,6 +44,9 @@
     this->run->Start();
   }
 
+  // Answers the caller at `end` at the latest.
+  void EndBy(MonotonicTime end) { this->run->EndBy(end); }
+
   // Called when the caller has closed its connection. Nothing is answered, and
   // the work at backend servers is cancelled.
   void OnCallerDisconnected() {
--- a/src/net/forward/forwarder.h
+++ b/src/net/forward/forwarder.h
@@ -14,6 +14,7 @@
 #include "src/policy/forward_timing.h"
 #include "src/policy/startup_retry.h"
 #include "src/policy/weighted_choice.h"
+#include "src/tables/lifecycle.h"
 #include "src/tables/list_table.h"
 
 namespace marigold {
@@ -26,6 +27,7 @@
   ForwardMetrics& metrics;
   // Returns false while it is not certain which routes are in force.
   std::function<bool()> are_routes_known;
+  const Lifecycle& lifecycle;
   ReplyLimits reply_limits;
 };
 
@@ -65,6 +67,17 @@
     return handlers;
   }
 
+  // Answers all requests in progress at the drain deadline at the latest. Must
+  // be called after the process has begun to leave.
+  void EndCallsByDrainDeadline() {
+    const MonotonicTime end = this->context.lifecycle.drain_deadline();
+    // A call that ends is removed from `calls`.
+    const auto calls_in_progress = this->calls;
+    for (const auto& [session, call] : calls_in_progress) {
+      call.end_by(end);
+    }
+  }
+
   // Answers the queries of another entry VM on an accepted connection.
   void ServeQueries(boost::asio::ip::tcp::socket socket) {
     this->query_server->Serve(std::move(socket));
@@ -115,6 +128,14 @@
  private:
   using SessionPtr = std::shared_ptr<CallerSession>;
 
+  // A call in progress, of either kind. Keeps it alive.
+  struct CallHandle {
+    // Ends the call because the caller is gone.
+    std::function<void()> abandon;
+    // Brings the deadlines of the call forward.
+    std::function<void(MonotonicTime end)> end_by;
+  };
+
   // A longer request is sent by this process alone, because each aggregator
   // would get a copy.
   static constexpr std::size_t kMaxGroupedRequestBytes = 16 * 1024;
@@ -151,6 +172,15 @@
                const Route& route,
                RouteVersion version,
                CallerRequest request) {
+    const MonotonicTime now = this->call_context.strand->Now();
+    const MonotonicTime drain_deadline =
+        this->context.lifecycle.drain_deadline();
+    if (IsTooLateToStart(route, now, drain_deadline)) {
+      this->Refuse(session, request, "stopping",
+                   {kStatusUnavailable, "this process is about to stop",
+                    Duration::zero()});
+      return;
+    }
     CallerMetadata caller_metadata = MessageCodec::ReadCaller(request);
     Duration& route_max_time_left = this->max_time_left[route.name];
     if (caller_metadata.time_left) {
@@ -159,9 +189,10 @@
     }
     ForwardPlan plan;
     plan.route = route.name;
-    plan.deadlines = ComputeDeadlines(
-        route, this->call_context.strand->Now(), caller_metadata.time_left,
-        session->round_trip(), route_max_time_left);
+    plan.deadlines =
+        ComputeDeadlines(route, now, caller_metadata.time_left,
+                         session->round_trip(), route_max_time_left);
+    plan.deadlines.EndBy(drain_deadline);
     plan.is_idempotent = route.is_idempotent;
     plan.max_attempts = route.max_attempts;
     std::size_t top_records = 0;
@@ -212,15 +243,17 @@
 
   template <class Call>
   void StartCall(const std::shared_ptr<Call>& call, const SessionPtr& session) {
-    this->calls[session.get()] = [call] { call->OnCallerDisconnected(); };
+    this->calls[session.get()] = {
+        [call] { call->OnCallerDisconnected(); },
+        [call](MonotonicTime end) { call->EndBy(end); }};
     call->Start();
   }
 
   void OnDisconnected(const SessionPtr& session) {
     const auto found = this->calls.find(session.get());
     if (found != this->calls.end()) {
-      const auto abandon = found->second;
-      abandon();
+      const CallHandle call = found->second;
+      call.abandon();
     }
   }
 
@@ -247,8 +280,7 @@
   FanOutContext fan_out_context;
   std::shared_ptr<GroupQueryServer<MessageCodec>> query_server;
   MonotonicTime started_at;
-  // By session: ends the call because the caller is gone. Keeps the call alive.
-  std::unordered_map<CallerSession*, std::function<void()>> calls;
+  std::unordered_map<CallerSession*, CallHandle> calls;
   std::unordered_map<RouteName, WeightedChoice> service_choices;
   // The longest time left that any caller of a route has stated. The first
   // attempt of a caller has this much time.
--- a/src/policy/fan_out/grouped_search.h
+++ b/src/policy/fan_out/grouped_search.h
@@ -140,6 +140,14 @@
     return steps;
   }
 
+  // Brings the deadlines forward to `end`, because the process stops then.
+  Steps EndBy(MonotonicTime now, MonotonicTime end) {
+    Steps steps;
+    this->plan.deadlines.EndBy(end);
+    this->UpdateState(now, steps);
+    return steps;
+  }
+
   // The caller has closed its connection. Ends all queries.
   Steps Abandon() {
     Steps steps;
--- a/src/policy/forward_timing.cc
+++ b/src/policy/forward_timing.cc
@@ -40,6 +40,12 @@
       static_cast<double>(duration.count()) * factor));
 }
 
+// Returns the target latency of the route, or `time_limit` if it has none.
+Duration TargetLatency(const Route& route, Duration time_limit) {
+  return route.target_latency > Duration::zero() ? route.target_latency
+                                                 : time_limit;
+}
+
 }  // namespace
 
 ForwardDeadlines ComputeDeadlines(const Route& route,
@@ -58,9 +64,7 @@
   }
   deadlines.give_up_at =
       now + std::max(time_limit - kGiveUpMargin, time_limit / 2);
-  const Duration target = route.target_latency > Duration::zero()
-                              ? route.target_latency
-                              : time_limit;
+  const Duration target = TargetLatency(route, time_limit);
   const Duration margin =
       std::max(round_trip.value_or(kDefaultRoundTrip) + kAnswerProcessingTime,
                target / kTargetMarginDivisor);
@@ -71,6 +75,12 @@
   return deadlines;
 }
 
+bool IsTooLateToStart(const Route& route,
+                      MonotonicTime now,
+                      MonotonicTime end) {
+  return end <= now || end - now < TargetLatency(route, route.time_limit);
+}
+
 AttemptTiming ComputeAttemptTiming(const LatencyQuantiles& latencies,
                                    const ForwardDeadlines& deadlines) {
   AttemptTiming timing;
--- a/src/policy/forward_timing.h
+++ b/src/policy/forward_timing.h
@@ -1,6 +1,7 @@
 #ifndef SRC_POLICY_FORWARD_TIMING_H_
 #define SRC_POLICY_FORWARD_TIMING_H_
 
+#include <algorithm>
 #include <optional>
 
 #include "src/core/units.h"
@@ -17,6 +18,12 @@
   MonotonicTime answer_by;
   // The request fails at this time.
   MonotonicTime give_up_at;
+
+  // Brings later deadlines forward to `end`.
+  void EndBy(MonotonicTime end) {
+    this->give_up_at = std::min(this->give_up_at, end);
+    this->answer_by = std::min(this->answer_by, end);
+  }
 };
 
 // Computes the deadlines of a request that arrived at `now`. `caller_time_left`
@@ -32,6 +39,11 @@
                                   std::optional<Duration> round_trip,
                                   Duration longest_time_left);
 
+// Returns true if less than the target latency of the route is left until
+// `end`. A request that arrives at `now` is then refused, because an answer
+// before `end` is unlikely.
+bool IsTooLateToStart(const Route& route, MonotonicTime now, MonotonicTime end);
+
 struct AttemptTiming {
   // The latency of a typical server for the route; zero if it is unknown.
   Duration typical_latency{};
--- a/src/policy/forwarding.h
+++ b/src/policy/forwarding.h
@@ -149,6 +149,14 @@
     return steps;
   }
 
+  // Brings the deadlines forward to `end`, because the process stops then.
+  Steps EndBy(MonotonicTime now, MonotonicTime end) {
+    Steps steps;
+    this->plan.deadlines.EndBy(end);
+    this->UpdateState(now, steps);
+    return steps;
+  }
+
   // No further answer is needed. Cancels all sends in flight. `end_state` is
   // `kFailed` if the caller is gone, and `kAnswered` if it has its answer.
   Steps Abandon(MonotonicTime now,
--- a/src/programs/forward_process.h
+++ b/src/programs/forward_process.h
@@ -76,6 +76,9 @@
   static constexpr Duration kReadinessDelay = std::chrono::milliseconds(2800);
   // The process exits this long before the platform kills it.
   static constexpr Duration kForcedStopMargin = std::chrono::milliseconds(400);
+  // All requests are answered this long before the process exits, so that the
+  // answers are written even if the VM gets little processor time.
+  static constexpr Duration kLastAnswerMargin = std::chrono::milliseconds(200);
   static constexpr Duration kTickInterval = std::chrono::milliseconds(250);
   static constexpr std::uint64_t kMaxFirstReadDelayMs = 600;
   static constexpr int kStatusUnavailable = 503;
@@ -127,6 +130,7 @@
                                 this->aggregators,
                                 this->metrics,
                                 [this] { return this->knows_routes(); },
+                                this->lifecycle,
                                 ToReplyLimits(this->settings)};
     std::vector<std::shared_ptr<Strand>> strands;
     for (std::int64_t i = 0; i < this->settings.workers; ++i) {
@@ -262,6 +266,10 @@
     }
   }
 
+  bool is_leaving() const {
+    return this->lifecycle.phase() != ProcessPhase::kServing;
+  }
+
   bool knows_routes() const {
     return this->control.is_synchronised() && this->lists.Routes() != nullptr;
   }
@@ -270,7 +278,7 @@
     HttpResponse response;
     response.content_type = "text/plain; version=0.0.4";
     if (request.path == this->settings.ready_path) {
-      const bool is_ready = !this->is_leaving && this->knows_routes() &&
+      const bool is_ready = !this->is_leaving() && this->knows_routes() &&
                             this->listing.Summary().observed_at.has_value() &&
                             !this->SomeRouteIsUnservable();
       response.status = is_ready ? response.status : kStatusUnavailable;
@@ -322,20 +330,25 @@
         R"("connections":{},"leaving":{}}})",
         routes ? routes->table().version.value() : 0,
         this->listing.Servers()->size(), this->ListingAgeMs(),
-        this->caller_listener->open_connections(), this->is_leaving.load());
+        this->caller_listener->open_connections(), this->is_leaving());
   }
 
   void OnSignal(int number) {
-    if (this->is_leaving.exchange(true)) {
+    if (this->is_leaving()) {
       return;
     }
+    const Duration stop_timeout =
+        FromSeconds(this->settings.stop_timeout_s) - kForcedStopMargin;
+    this->lifecycle.Leave(this->clock.Now() + stop_timeout - kLastAnswerMargin);
     LogEvent(LogLevel::kInfo, "leaving",
              {{"signal", number},
               {"connections", this->caller_listener->open_connections()}});
     this->caller_listener->DisableKeepAlive();
     this->control.WithdrawAggregator();
-    const Duration stop_timeout =
-        FromSeconds(this->settings.stop_timeout_s) - kForcedStopMargin;
+    for (const auto& [strand, forwarder] : this->forwarders) {
+      strand->Post(
+          [forwarder = forwarder] { forwarder->EndCallsByDrainDeadline(); });
+    }
     this->pool.PostAfter(std::min(kReadinessDelay, stop_timeout / 2), [this] {
       LogEvent(LogLevel::kInfo, "draining",
                {{"connections", this->caller_listener->open_connections()}});
@@ -372,7 +385,7 @@
   mutable BackendTable backends;
   AggregatorTable aggregators;
   ForwardMetrics metrics;
-  std::atomic<bool> is_leaving = false;
+  Lifecycle lifecycle;
   std::atomic<std::size_t> undrained_strands = 0;
   mutable std::atomic<bool> had_unservable_route = false;
   WorkerPool pool;
--- a/tests/forwarding_test.cc
+++ b/tests/forwarding_test.cc
@@ -213,6 +213,99 @@
   cr_assert_eq(fixture.forwarding->answered_targets(), 1U);
 }
 
+namespace {
+
+struct EarlyEndRow {
+  const char* scenario;
+  bool is_idempotent;
+  double minimum_coverage;
+  std::size_t answered;
+  ForwardState expected_state;
+};
+
+// Requests to two shards, of which the first `answered` shards answer.
+const EarlyEndRow kEarlyEndRows[] = {
+    {"no answer to an action", false, 1, 0, ForwardState::kTimedOut},
+    {"no answer to a query", true, 1, 0, ForwardState::kTimedOut},
+    {"enough answers", true, 0.5, 1, ForwardState::kAnswered},
+    {"too few answers", true, 1, 1, ForwardState::kTimedOut},
+};
+
+}  // namespace
+
+ParameterizedTestParameters(Forwarding, EndsWhenTheProcessStops) {
+  return RowIndices(kEarlyEndRows);
+}
+
+// Guards against a request in flight whose connection ends without an answer
+// because the process stops before the request's own deadline.
+ParameterizedTest(std::size_t* index, Forwarding, EndsWhenTheProcessStops) {
+  const EarlyEndRow& row = kEarlyEndRows[*index];
+  ForwardingFixture fixture(2);
+  fixture.plan.is_idempotent = row.is_idempotent;
+  fixture.plan.minimum_coverage = row.minimum_coverage;
+  fixture.Start();
+  for (std::size_t send = 0; send < row.answered; ++send) {
+    fixture.Answer(send);
+  }
+  const MonotonicTime end = fixture.now + milliseconds(50);
+  fixture.forwarding->EndBy(fixture.now, end);
+  cr_assert_eq(fixture.forwarding->state(), ForwardState::kRunning, "%s",
+               row.scenario);
+  fixture.Wait(end - fixture.now);
+  cr_assert_eq(fixture.forwarding->state(), row.expected_state,
+               "%s: expected %s, actual %s", row.scenario,
+               std::string(ToString(row.expected_state)).c_str(),
+               std::string(ToString(fixture.forwarding->state())).c_str());
+}
+
+namespace {
+
+struct LateStartRow {
+  const char* scenario;
+  Duration target_latency;
+  Duration time_limit;
+  Duration time_left;
+  bool expected;
+};
+
+const LateStartRow kLateStartRows[] = {
+    {"the process does not stop", milliseconds(500), seconds(3),
+     MonotonicTime::max() - MonotonicTime(seconds(100)), false},
+    {"more than the target latency is left", milliseconds(500), seconds(3),
+     milliseconds(500), false},
+    {"less than the target latency is left", milliseconds(500), seconds(3),
+     milliseconds(499), true},
+    {"no target latency and less than the time limit is left",
+     {},
+     seconds(3),
+     milliseconds(2999),
+     true},
+    {"the process should have stopped", milliseconds(500), seconds(3),
+     milliseconds(-1), true},
+};
+
+}  // namespace
+
+ParameterizedTestParameters(Forwarding, RequestThatArrivesTooLateIsRefused) {
+  return RowIndices(kLateStartRows);
+}
+
+// Guards against a request that is sent to a server shortly before the process
+// exits, so that its answer never reaches the caller.
+ParameterizedTest(std::size_t* index,
+                  Forwarding,
+                  RequestThatArrivesTooLateIsRefused) {
+  const LateStartRow& row = kLateStartRows[*index];
+  Route route;
+  route.target_latency = row.target_latency;
+  route.time_limit = row.time_limit;
+  const MonotonicTime now(seconds(100));
+  const bool actual = IsTooLateToStart(route, now, now + row.time_left);
+  cr_assert_eq(actual, row.expected, "%s: expected %d, actual %d", row.scenario,
+               row.expected, actual);
+}
+
 // Guards against a request that is sent to the shards that have servers and is
 // then reported as not run because another shard has none.
 Test(Forwarding, RefusesBeforeAnySendIfCoverageIsUnreachable) {
--- a/tests/grouped_search_test.cc
+++ b/tests/grouped_search_test.cc
@@ -174,6 +174,18 @@
   cr_assert_eq(cancelled, std::size_t{4}, "actual %zu", cancelled);
 }
 
+// Guards against a request in flight whose connection ends without an answer
+// because the process stops before the request's own deadline.
+Test(GroupedSearch, EndsWhenTheProcessStops) {
+  GroupedSearchFixture fixture(kShards);
+  fixture.Start();
+  const MonotonicTime end = fixture.now + milliseconds(30);
+  fixture.search->EndBy(fixture.now, end);
+  cr_assert_eq(fixture.search->state(), ForwardState::kRunning);
+  fixture.Wait(end - fixture.now);
+  cr_assert_neq(fixture.search->state(), ForwardState::kRunning);
+}
+
 // Guards against a report that arrives after its query has ended and changes
 // the outcome.
 Test(GroupedSearch, ReportOfAnEndedQueryIsIgnored) {
