Parse each entry of a server list by itself

Requests went to draining servers, and were all refused once these had ended.

Cause: a page was parsed as one JSON document, which the parser refuses at the first invalid byte, at a text with half of a surrogate pair or at more than 8 levels of nesting. Entries were decoded one by one only after that. The VM list of the own interface was refused at its first invalid record.

Each entry is parsed by itself and skipped if it is invalid.

--- a/src/net/backends/backend_client_impl.cc
+++ b/src/net/backends/backend_client_impl.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 
 #include "src/core/checksum.h"
-#include "src/wire/backend_json.h"
+#include "src/wire/platform_list_json.h"
 
 namespace marigold {
 
--- a/src/net/listing/fleet_monitor.cc
+++ b/src/net/listing/fleet_monitor.cc
@@ -57,6 +57,7 @@
     if (result.changed_list) {
       this->table.UpdateRecords(this->clock.Now(),
                                 result.changed_list->servers);
+      this->LogUnreadableRecords(*result.changed_list);
     }
     if (result.succeeded != this->is_list_available) {
       this->is_list_available = result.succeeded;
@@ -73,6 +74,16 @@
                                         });
   }
 
+  // Logs the number of unreadable records when it changes.
+  void LogUnreadableRecords(const PlatformVmList& list) {
+    if (list.unreadable_records != this->reported_unreadable_records) {
+      this->reported_unreadable_records = list.unreadable_records;
+      LogEvent(LogLevel::kWarning, "platform_list_records_unreadable",
+               {{"records", list.unreadable_records},
+                {"readable", list.servers.size()}});
+    }
+  }
+
   void CheckStatusSchedule() {
     const MonotonicTime now = this->clock.Now();
     const std::vector<StatusCandidate> candidates =
@@ -125,6 +136,7 @@
   // The servers that have a pool and the mode of each pool, sorted by server.
   std::vector<std::pair<ServerIndex, PoolMode>> pool_modes;
   bool is_list_available = false;
+  std::size_t reported_unreadable_records = 0;
   TimerHandle list_timer;
   TimerHandle check_timer;
 };
--- a/src/policy/backend_messages.h
+++ b/src/policy/backend_messages.h
@@ -1,6 +1,7 @@
 #ifndef SRC_POLICY_BACKEND_MESSAGES_H_
 #define SRC_POLICY_BACKEND_MESSAGES_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <variant>
@@ -59,6 +60,8 @@
 struct PlatformVmList {
   std::uint64_t version = 0;
   std::vector<ServerRecord> servers;
+  // Number of records that could not be decoded. They are skipped.
+  std::size_t unreadable_records = 0;
 };
 
 }  // namespace marigold
--- a/src/wire/backend_json.cc
+++ b/src/wire/backend_json.cc
@@ -102,31 +102,6 @@
   return manifest;
 }
 
-Result<ServerRecord> ReadServerRecord(const json::object& object,
-                                      std::string path) {
-  JsonReader reader(object, std::move(path));
-  ServerRecord record;
-  record.server = BackendServerId(reader.Text("server", 1, kMaxIdBytes));
-  const std::string address = reader.Text("address", 1, kMaxIdBytes);
-  const std::uint64_t port = reader.Number("port", 1, 65535);
-  record.service = ServiceId(reader.Text("service", 1, kMaxIdBytes));
-  record.data_centre = DataCentreId(reader.Text("data_centre", 1, kMaxIdBytes));
-  const std::string state = reader.Text("state", 1, kMaxIdBytes);
-  BOOST_LEAF_CHECK(reader.Finish());
-  const auto endpoint = ParseEndpoint(fmt::format("{}:{}", address, port));
-  if (!endpoint) {
-    return boost::leaf::new_error(
-        ParseError{reader.path() + "address", {}, "an IPv4 number"});
-  }
-  if (state != "live" && state != "leaving") {
-    return boost::leaf::new_error(
-        ParseError{reader.path() + "state", {}, "live or leaving"});
-  }
-  record.endpoint = *endpoint;
-  record.is_leaving = state == "leaving";
-  return record;
-}
-
 }  // namespace
 
 std::string EncodeSubRequest(const SubRequest& request) {
@@ -301,35 +276,4 @@
   return report;
 }
 
-std::string EncodePlatformList(const PlatformVmList& list) {
-  json::array vms;
-  for (const ServerRecord& record : list.servers) {
-    vms.push_back(json::object{
-        {"server", record.server.value()},
-        {"address", record.endpoint.address},
-        {"port", record.endpoint.port},
-        {"service", record.service.value()},
-        {"data_centre", record.data_centre.value()},
-        {"state", record.is_leaving ? "leaving" : "live"},
-    });
-  }
-  return json::serialize(
-      json::object{{"version", list.version}, {"vms", std::move(vms)}});
-}
-
-Result<PlatformVmList> DecodePlatformList(std::string_view body) {
-  BOOST_LEAF_AUTO(document, ParseJsonObject(body));
-  JsonReader reader(document.get_object(), "");
-  PlatformVmList list;
-  list.version = reader.Number("version", 0, kMaxNumber);
-  const auto objects = reader.Objects("vms");
-  BOOST_LEAF_CHECK(reader.Finish());
-  for (std::size_t i = 0; i < objects.size(); ++i) {
-    BOOST_LEAF_AUTO(record,
-                    ReadServerRecord(*objects[i], fmt::format("vms[{}].", i)));
-    list.servers.push_back(std::move(record));
-  }
-  return list;
-}
-
 }  // namespace marigold
--- a/src/wire/backend_json.h
+++ b/src/wire/backend_json.h
@@ -39,11 +39,6 @@
 // Fails with `ParseError`.
 Result<StatusReport> DecodeStatus(std::string_view body);
 
-// The platform's list of backend servers.
-std::string EncodePlatformList(const PlatformVmList& list);
-// Fails with `ParseError`.
-Result<PlatformVmList> DecodePlatformList(std::string_view body);
-
 }  // namespace marigold
 
 #endif  // SRC_WIRE_BACKEND_JSON_H_
--- a/tests/platform/platform_standin.cc
+++ b/tests/platform/platform_standin.cc
@@ -124,9 +124,15 @@
           entries.empty() ? "" : ",", server.id, server.service, server.address,
           this->settings.listed_port, this->settings.data_centre);
     }
-    return fmt::format(
-        R"({{"Instances":[{},{{"Id":"broken"}}],"NextPageToken":null}})",
-        entries);
+    // Entries of another writer, which name no server.
+    const std::string broken_entries = R"({"Id":"broken"},{"Id":")"
+                                       "\xff"
+                                       R"("},{"Id":)" +
+                                       std::string(1'000, '[') +
+                                       std::string(1'000, ']') +
+                                       R"(},{"Id":"x","Capacity":1e999})";
+    return fmt::format(R"({{"Instances":[{},{}],"NextPageToken":null}})",
+                       entries, broken_entries);
   }
 
   CallerHandlers HandlersOf(const Server& server) {
--- a/tools/standin/platform_server.cc
+++ b/tools/standin/platform_server.cc
@@ -8,7 +8,7 @@
 
 #include "src/core/clock.h"
 #include "src/core/log.h"
-#include "src/wire/backend_json.h"
+#include "src/wire/platform_list_json.h"
 #include "tools/standin/admin_commands.h"
 #include "tools/standin/standin_json.h"
 #include "tools/standin/standin_queries.h"
