Heed servers that leave or ask for a pause

A server that leaves says so in its answers, and one that is busy adds Retry-After to a 503. Neither field was read: a server left only when the platform's list, which lags, said so.

Change: the adapter reads both fields from every whole reply that matches its request, also from one that comes after the request was answered elsewhere. The directory of servers keeps them for this start of the server: one that leaves gets requests only if no other is left and none after 0.5 s; one that asked for a pause gets none until its end plus a random part. If all servers of a service pause, a request fails at once and tells the caller when to return. Both decisions stand in the directory, below single requests and groups of shards.

--- a/src/net/fan_out/grouped_call.h
+++ b/src/net/fan_out/grouped_call.h
@@ -209,13 +209,17 @@
                         this->search.parts().answered_count(),
                         this->search.send_count(),
                         this->Now() - plan.deadlines.started_at};
-    FinishCall(this->context.metrics, this->caller, this->call_log, summary,
-               state, [this, state](bool closes_connection) {
-                 return state == ForwardState::kAnswered
-                            ? this->EncodeMergedAnswer(closes_connection)
-                            : EncodeFailure<MessageCodec>(state,
-                                                          closes_connection);
-               });
+    FinishCall(
+        this->context.metrics, this->caller, this->call_log, summary, state,
+        [this, state](bool closes_connection) {
+          return state == ForwardState::kAnswered
+                     ? this->EncodeMergedAnswer(closes_connection)
+                     : EncodeFailure<MessageCodec>(
+                           state,
+                           CurrentRetryDelay(this->context,
+                                             this->search.request_plan()),
+                           closes_connection);
+        });
   }
 
   std::string EncodeMergedAnswer(bool closes_connection) {
--- a/src/net/forward/backend_link.h
+++ b/src/net/forward/backend_link.h
@@ -36,6 +36,9 @@
   bool is_head = false;
   // Returns false for a reply to another request. Such a reply is skipped.
   std::function<bool(const BackendReply&)> is_expected;
+  // Called with each whole reply to the request, also with one that arrives
+  // after the exchange was abandoned. May be empty.
+  std::function<void(const BackendReply&)> on_reply;
   // Called before the first byte is written.
   std::function<void()> on_begin;
   // Called at most once, on the strand.
--- a/src/net/forward/backend_link_replies.cc
+++ b/src/net/forward/backend_link_replies.cc
@@ -170,6 +170,9 @@
     this->Parse();
     return;
   }
+  if (is_expected && this->exchange->on_reply) {
+    this->exchange->on_reply(reply);
+  }
   const bool is_reusable = is_expected && reply.keep_alive() &&
                            this->buffer.size() == 0 && this->is_written &&
                            !this->must_close &&
--- a/src/net/forward/call_end.h
+++ b/src/net/forward/call_end.h
@@ -18,10 +18,6 @@
 inline constexpr int kStatusUnavailable = 503;
 inline constexpr int kStatusGatewayTimeout = 504;
 
-// How long a refused caller should wait before it tries again. Backend servers
-// that are full or restarting are usable again within about this time.
-inline constexpr Duration kRetryAfter = std::chrono::milliseconds(100);
-
 // A request as its caller sees it.
 struct CallerSide {
   std::shared_ptr<CallerSession> session;
@@ -45,11 +41,14 @@
     const std::function<std::string(bool closes_connection)>& encode);
 
 // Encodes the answer to a request that ended without one from a server.
+// `retry_delay` is how long the caller should wait if the request did not run.
 template <ForwardMessageCodec MessageCodec>
-std::string EncodeFailure(ForwardState state, bool closes_connection) {
+std::string EncodeFailure(ForwardState state,
+                          Duration retry_delay,
+                          bool closes_connection) {
   if (state == ForwardState::kNotRun) {
     return MessageCodec::WriteLocalAnswer(
-        {kStatusUnavailable, "no backend server took the request", kRetryAfter},
+        {kStatusUnavailable, "no backend server took the request", retry_delay},
         closes_connection);
   }
   if (state == ForwardState::kTimedOut) {
--- a/src/net/forward/forward_run.h
+++ b/src/net/forward/forward_run.h
@@ -31,6 +31,17 @@
 // not run: 408, 421, 429 or 503.
 bool PromisesNotExecuted(unsigned status);
 
+// Returns how long a caller should wait whose request did not run.
+Duration CurrentRetryDelay(CallContext& context, const ForwardPlan& plan);
+
+// Applies what a server said about itself along with a reply, and logs what it
+// changes.
+void ApplyNotice(BackendTable& backends,
+                 ForwardMetrics& metrics,
+                 MonotonicTime now,
+                 ServerIndex server,
+                 const ServerNotice& notice);
+
 // The request of a run in its encoded form.
 struct EncodedRequest {
   RequestId request;
@@ -155,6 +166,13 @@
       const std::string_view stated_request = MessageCodec::RequestIdOf(reply);
       return stated_request.empty() || stated_request == id.value();
     };
+    exchange.on_reply = [strand = this->context.strand,
+                         &backends = this->context.backends,
+                         &metrics = this->context.metrics,
+                         server = step.server](const BackendReply& reply) {
+      ApplyNotice(backends, metrics, strand->Now(), server,
+                  MessageCodec::ReadNotice(reply));
+    };
     exchange.on_begin = [weak = this->weak_from_this()] {
       if (const auto self = weak.lock()) {
         ++self->sends_possibly_executed;
--- a/src/net/forward/forwarded_call.h
+++ b/src/net/forward/forwarded_call.h
@@ -91,7 +91,8 @@
         !PromisesNotExecuted(error_reply->result_int())) {
       return MessageCodec::WriteReply(*error_reply, closes_connection);
     }
-    return EncodeFailure<MessageCodec>(state, closes_connection);
+    return EncodeFailure<MessageCodec>(
+        state, CurrentRetryDelay(this->context, this->plan), closes_connection);
   }
 
   std::string EncodeMergedAnswer(bool closes_connection) {
--- a/src/net/forward/message_codec.h
+++ b/src/net/forward/message_codec.h
@@ -12,6 +12,7 @@
 #include "src/net/forward/backend_link.h"
 #include "src/net/forward/caller_session.h"
 #include "src/policy/backend_directory.h"
+#include "src/policy/server_notice.h"
 
 namespace marigold {
 
@@ -84,6 +85,7 @@
   { T::WriteSend(send_template, send) } -> std::same_as<std::string>;
   { T::RequestIdOf(reply) } -> std::same_as<std::string_view>;
   { T::ReadReply(reply) } -> std::same_as<ReplyMetadata>;
+  { T::ReadNotice(reply) } -> std::same_as<ServerNotice>;
   { T::WriteReply(reply, closes_connection) } -> std::same_as<std::string>;
   {
     T::WriteLocalAnswer(local_answer, closes_connection)
--- a/src/policy/backend_directory.cc
+++ b/src/policy/backend_directory.cc
@@ -1,6 +1,7 @@
 #include "src/policy/backend_directory.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace marigold {
 
@@ -71,6 +72,13 @@
     const ServerIndex index = this->AddOrUpdateServer(now, row);
     is_listed[index.value()] = true;
     Server& server = this->ServerAt(index);
+    const bool may_have_restarted =
+        !std::exchange(server.is_listed, true) && row.started_at_ms == 0;
+    if (may_have_restarted) {
+      // What an earlier start said about itself no longer holds.
+      server.leaving_since.reset();
+      server.paused_until = MonotonicTime::min();
+    }
     if (server.is_usable && row.is_draining) {
       newly_unusable.push_back(index);
     }
@@ -81,6 +89,7 @@
   }
   for (std::size_t i = 0; i < this->servers.size(); ++i) {
     Server& server = this->servers[i];
+    server.is_listed = is_listed[i + 1];
     if (server.is_usable && !is_listed[i + 1]) {
       server.is_usable = false;
       newly_unusable.push_back(ServerIndex(i + 1));
@@ -219,6 +228,37 @@
     server.observations.OnUnanswered(now);
   }
 }
+
+NoticeEffect BackendDirectory::ApplyNotice(MonotonicTime now,
+                                           ServerIndex index,
+                                           const ServerNotice& notice) {
+  Server& server = this->ServerAt(index);
+  NoticeEffect effect;
+  if (notice.is_leaving && !server.leaving_since) {
+    server.leaving_since = now;
+    effect.began_to_leave = true;
+  }
+  if (notice.pause) {
+    effect.began_to_pause = now >= server.paused_until;
+    server.paused_until =
+        std::max(server.paused_until,
+                 now + *notice.pause + this->PauseJitter(*notice.pause));
+  }
+  if (notice.has_invalid_pause && now >= server.next_invalid_report_at) {
+    server.next_invalid_report_at = now + kInvalidPauseReportInterval;
+    effect.reports_invalid_pause = true;
+  }
+  return effect;
+}
+
+// The entry VMs that a server pauses at the same time should not all return at
+// the same time.
+Duration BackendDirectory::PauseJitter(Duration pause) {
+  return Duration(static_cast<Duration::rep>(
+      static_cast<double>(std::min(pause, kMaxJitteredPause).count()) *
+      kPauseJitter * this->jitter.NextDouble()));
+}
+
 void BackendDirectory::OnFailure(MonotonicTime now,
                                  ServerIndex index,
                                  SendFailure failure) {
--- a/src/policy/backend_directory.h
+++ b/src/policy/backend_directory.h
@@ -17,6 +17,7 @@
 #include "src/policy/retry_budget.h"
 #include "src/policy/search_types.h"
 #include "src/policy/server_hint.h"
+#include "src/policy/server_notice.h"
 #include "src/policy/server_observations.h"
 #include "src/policy/server_view.h"
 
@@ -69,6 +70,8 @@
 struct DirectorySettings {
   DataCentreId data_centre;
   RetryBudgetSettings retry_budget;
+  // The seed of the random parts of pauses.
+  std::uint64_t seed = 1;
 };
 
 // Tracks the backend servers of the platform's list. These servers report
@@ -77,7 +80,7 @@
 class BackendDirectory {
  public:
   explicit BackendDirectory(DirectorySettings directory_settings)
-      : settings(std::move(directory_settings)) {}
+      : settings(std::move(directory_settings)), jitter(settings.seed) {}
 
   BackendDirectory(const BackendDirectory&) = delete;
   BackendDirectory& operator=(const BackendDirectory&) = delete;
@@ -149,6 +152,12 @@
                           Duration typical_latency,
                           bool was_answered);
 
+  // Applies what a server said about itself. Holds for this start of the
+  // server, whatever the platform's list says.
+  NoticeEffect ApplyNotice(MonotonicTime now,
+                           ServerIndex server,
+                           const ServerNotice& notice);
+
   // Records whether an entry VM in a data centre answered. An answer shows that
   // the data centre is reachable. Several failures in a row without one cause
   // probes, because the entry VMs may only be slow.
@@ -174,6 +183,10 @@
                                           Fraction quantile) const;
   // True if at least one server of the service can get an attempt now.
   bool HasAvailableServer(MonotonicTime now, const ServiceId& service) const;
+  // The time at which the first pause of the service's usable servers ends, or
+  // `now` if one of them is not paused. Returns nothing if no server is usable.
+  std::optional<MonotonicTime> FirstPauseEnd(MonotonicTime now,
+                                             const ServiceId& service) const;
   // As `HasAvailableServer`, but counts only servers in data centres that are
   // not cut off.
   bool HasAnsweringServer(MonotonicTime now, const ServiceId& service) const;
@@ -198,6 +211,7 @@
         : observations(now), unanswered_since(now) {}
 
     ListedServer listed;
+    bool is_listed = false;
     // True if the server is listed and does not drain.
     bool is_usable = false;
     std::uint32_t in_flight = 0;
@@ -209,6 +223,12 @@
     // flight started if that is later.
     MonotonicTime unanswered_since;
     MonotonicTime usable_since;
+    // The time at which the server first said that it is about to stop.
+    std::optional<MonotonicTime> leaving_since;
+    // The end of the pause that the server asked for.
+    MonotonicTime paused_until = MonotonicTime::min();
+    // Invalid pauses are reported again from this time on.
+    MonotonicTime next_invalid_report_at = MonotonicTime::min();
   };
 
   struct Service {
@@ -245,14 +265,26 @@
   // if in addition none of its servers has answered for `kCutOffAfter`.
   static constexpr std::uint32_t kCutOffAttempts = 4;
   static constexpr Duration kCutOffAfter = std::chrono::milliseconds(300);
+  // A server that is about to stop gets requests for this long if no other one
+  // is left. The list usually shows its successor by then.
+  static constexpr Duration kLeavingUseTime = std::chrono::milliseconds(500);
+  static constexpr Duration kInvalidPauseReportInterval =
+      std::chrono::minutes(1);
+  // The random part of a pause, relative to its length.
+  static constexpr double kPauseJitter = 0.25;
+  // A longer pause has the random part of one of this length.
+  static constexpr Duration kMaxJitteredPause = std::chrono::seconds(8);
   // The size of the histograms in the latency digest of each route, in samples.
   static constexpr std::uint32_t kSamplesPerHistogram = 512;
 
   Server& ServerAt(ServerIndex server);
   const Server& ServerAt(ServerIndex server) const;
   bool IsCutOff(MonotonicTime now, const DataCentreId& data_centre) const;
-  // True if the server is usable and not blocked, and its data centre either is
-  // not cut off or is due for a probe.
+  // True if the server is usable and has not said too long ago that it is about
+  // to stop.
+  static bool IsStaying(MonotonicTime now, const Server& server);
+  // True if the server is usable, not blocked or paused, and its data centre
+  // either is not cut off or is due for a probe.
   bool IsAvailable(MonotonicTime now, const Server& server) const;
   // Counts an unanswered attempt for the data centre of the server.
   void CountUnanswered(const Server& server);
@@ -271,9 +303,11 @@
                          std::span<const ServerIndex> tried);
   void CountAttempt(MonotonicTime now, ServerIndex server);
   void EndAttempt(Server& server);
+  Duration PauseJitter(Duration pause);
 
   DirectorySettings settings;
   Fraction retry_budget_share{0};
+  SeededRandom jitter;
   // `servers[i - 1]` is the server with index i.
   std::vector<Server> servers;
   std::unordered_map<ServerKey, ServerIndex, ServerKeyHash> index_by_key;
--- a/src/policy/backend_directory_queries.cc
+++ b/src/policy/backend_directory_queries.cc
@@ -44,6 +44,24 @@
                      });
 }
 
+std::optional<MonotonicTime> BackendDirectory::FirstPauseEnd(
+    MonotonicTime now,
+    const ServiceId& service) const {
+  const auto found = this->services.find(service);
+  if (found == this->services.end()) {
+    return std::nullopt;
+  }
+  std::optional<MonotonicTime> first_end;
+  for (const ServerIndex index : found->second.members) {
+    const Server& server = this->ServerAt(index);
+    const MonotonicTime end = std::max(now, server.paused_until);
+    if (IsStaying(end, server) && (!first_end || end < *first_end)) {
+      first_end = end;
+    }
+  }
+  return first_end;
+}
+
 bool BackendDirectory::HasAnsweringServer(MonotonicTime now,
                                           const ServiceId& service) const {
   const auto found = this->services.find(service);
@@ -123,9 +141,15 @@
          now - found->second.last_answer_at > kCutOffAfter;
 }
 
+bool BackendDirectory::IsStaying(MonotonicTime now, const Server& server) {
+  return server.is_usable && (!server.leaving_since ||
+                              now < *server.leaving_since + kLeavingUseTime);
+}
+
 bool BackendDirectory::IsAvailable(MonotonicTime now,
                                    const Server& server) const {
-  if (!server.is_usable || server.observations.IsBlocked(now)) {
+  if (!IsStaying(now, server) || server.observations.IsBlocked(now) ||
+      now < server.paused_until) {
     return false;
   }
   const DataCentreId& data_centre = server.listed.data_centre;
@@ -147,7 +171,8 @@
   view.state = ServerState::kServing;
   view.is_in_same_data_centre =
       server.listed.data_centre == this->settings.data_centre;
-  view.is_suspect = server.observations.IsAvoided(now);
+  view.is_suspect =
+      server.observations.IsAvoided(now) || server.leaving_since.has_value();
   view.slots = std::max(server.listed.slots, 1U);
   view.in_flight = server.in_flight;
   view.limit = server.in_flight + 1;
--- a/src/policy/fan_out/search_outcome.h
+++ b/src/policy/fan_out/search_outcome.h
@@ -29,6 +29,13 @@
                           MonotonicTime now,
                           const ForwardPlan& plan);
 
+// Returns how long a caller should wait whose request did not run at `now`:
+// until enough targets for the minimum coverage have a server that is not
+// paused, within fixed bounds.
+Duration RetryDelay(const BackendDirectory& directory,
+                    MonotonicTime now,
+                    const ForwardPlan& plan);
+
 // Returns how a request ends at `now`, or `kRunning` if it goes on.
 // `may_have_run` states whether a server may have run it.
 ForwardState DecideState(const ForwardPlan& plan,
--- a/src/policy/forwarding.h
+++ b/src/policy/forwarding.h
@@ -267,7 +267,7 @@
           return placed;
         });
     if (!server) {
-      this->ScheduleNextRound(now, target);
+      this->ScheduleNextRound(now, target_index);
       return;
     }
     const SendId id(this->sends.size());
@@ -285,17 +285,27 @@
 
   // Called when the target has no server left to try or the retry budget is
   // used up. Schedules another round over all servers if one of them was full,
-  // no send is in flight and `kMaxRounds` is not reached.
-  void ScheduleNextRound(MonotonicTime now, Target& target) {
+  // no send is in flight, `kMaxRounds` is not reached, and a server is not
+  // paused by then. If all servers have asked for a long pause, the request
+  // fails at once.
+  void ScheduleNextRound(MonotonicTime now, std::size_t target_index) {
+    Target& target = this->targets[target_index];
     this->may_have_exhausted_targets = true;
     if (target.in_flight > 0 || !target.found_full_server ||
         target.rounds >= kMaxRounds) {
       return;
     }
+    const auto pause_end =
+        this->table.Access([&](const BackendDirectory& directory) {
+          return directory.FirstPauseEnd(now, this->plan.targets[target_index]);
+        });
+    if (!pause_end || *pause_end > now + kMaxRounds * kRoundDelay) {
+      return;
+    }
     ++target.rounds;
     target.found_full_server = false;
     target.tried.clear();
-    target.next_send_at = now + kRoundDelay;
+    target.next_send_at = std::max(now + kRoundDelay, *pause_end);
   }
 
   static bool IsExhausted(const Target& target) {
--- a/src/programs/forward_process.h
+++ b/src/programs/forward_process.h
@@ -92,6 +92,7 @@
     directory.retry_budget.fleet_minimum_sends = settings.retry_minimum;
     directory.retry_budget.window = FromSeconds(settings.retry_window_s);
     directory.retry_budget.started_at = SystemClock().Now();
+    directory.seed = SystemSeed();
     return directory;
   }
 
--- a/src/tables/forward_metrics.cc
+++ b/src/tables/forward_metrics.cc
@@ -43,6 +43,11 @@
           "for "
           "a request of this VM, served for another one, refused, lost with "
           "their connection, or without a report in time.")),
+      server_notices(AddCounterFamily(
+          *registry,
+          "marigold_server_notices_total",
+          "Replies in which a backend server said that it is leaving, asked "
+          "for a pause, or stated a pause that can't be read.")),
       partial(AddCounterFamily(*registry,
                                "marigold_forward_partial_total",
                                "Merged answers that lack shards.")
@@ -80,6 +85,10 @@
   this->partial.Increment();
 }
 
+void ForwardMetrics::OnServerNotice(std::string_view kind) {
+  this->server_notices.Add({{"kind", std::string(kind)}}).Increment();
+}
+
 std::string ForwardMetrics::Render() const {
   std::ostringstream text;
   prometheus::TextSerializer().Serialize(text, this->registry->Collect());
--- a/src/tables/forward_metrics.h
+++ b/src/tables/forward_metrics.h
@@ -25,6 +25,9 @@
   void OnSendFailure(std::string_view failure);
   void OnRefused(std::string_view reason);
   void OnPartialAnswer();
+  // A server said something about itself. `kind` is a stable text such as
+  // "pause".
+  void OnServerNotice(std::string_view kind);
   // A query for a group of shards. `event` is a stable text such as "sent".
   void OnGroupQuery(std::string_view event);
 
@@ -40,6 +43,7 @@
   prometheus::Family<prometheus::Counter>& failures;
   prometheus::Family<prometheus::Counter>& refusals;
   prometheus::Family<prometheus::Counter>& group_queries;
+  prometheus::Family<prometheus::Counter>& server_notices;
   prometheus::Counter& partial;
   prometheus::Counter& first_sends;
   prometheus::Counter& repeated_sends;
--- a/tests/backend_directory_test.cc
+++ b/tests/backend_directory_test.cc
@@ -1,6 +1,8 @@
 #include <criterion/criterion.h>
 
+#include <algorithm>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "src/core/random.h"
@@ -41,6 +43,18 @@
                                         this->random);
   }
 
+  // All servers but those with the id "a".
+  std::vector<ServerIndex> OtherServers() const {
+    std::vector<ServerIndex> others;
+    for (std::uint64_t i = 1; i <= this->directory.size(); ++i) {
+      if (this->directory.ListedServerAt(ServerIndex(i)).server !=
+          BackendServerId("a")) {
+        others.emplace_back(i);
+      }
+    }
+    return others;
+  }
+
   std::string NameOf(const std::optional<ServerIndex>& server) const {
     return server ? this->directory.ListedServerAt(*server).server.value() : "";
   }
@@ -114,6 +128,125 @@
   }
 }
 
+namespace {
+
+enum class ListChange {
+  kNone,
+  // The list still shows the server as ready.
+  kStillReady,
+  kAnotherStart,
+  // The server disappears from a list without start times, and comes back.
+  kGoneAndBack,
+};
+
+struct NoticeRow {
+  const char* scenario;
+  ServerNotice notice;
+  ListChange change;
+  Duration wait;
+  bool expect_chosen_with_others;
+  bool expect_chosen_alone;
+};
+
+ServerNotice Leaving() {
+  ServerNotice notice;
+  notice.is_leaving = true;
+  return notice;
+}
+
+ServerNotice Pause(Duration pause) {
+  ServerNotice notice;
+  notice.pause = pause;
+  return notice;
+}
+
+const NoticeRow kNoticeRows[] = {
+    {"leaving", Leaving(), ListChange::kNone, {}, false, true},
+    {"leaving for a while", Leaving(), ListChange::kNone, milliseconds(499),
+     false, true},
+    {"leaving for longer", Leaving(), ListChange::kNone, milliseconds(500),
+     false, false},
+    {"leaving for very long", Leaving(), ListChange::kStillReady, seconds(600),
+     false, false},
+    {"leaving, then another start", Leaving(), ListChange::kAnotherStart,
+     seconds(1), true, true},
+    {"leaving, then gone and back", Leaving(), ListChange::kGoneAndBack,
+     seconds(1), true, true},
+    {"paused", Pause(seconds(2)), ListChange::kNone, {}, false, false},
+    {"until the end of a pause", Pause(seconds(2)), ListChange::kStillReady,
+     milliseconds(1999), false, false},
+    {"after a pause and its random part", Pause(seconds(2)), ListChange::kNone,
+     milliseconds(2500), true, true},
+    {"a pause of no length", Pause({}), ListChange::kNone, {}, true, true},
+    {"paused, then another start", Pause(seconds(30)),
+     ListChange::kAnotherStart, seconds(1), true, true},
+};
+
+}  // namespace
+
+ParameterizedTestParameters(BackendDirectory, NoticeOfAServerHolds) {
+  return RowIndices(kNoticeRows);
+}
+
+// Guards against requests that reach a server long after it said that it is
+// about to stop, or during a pause that it asked for, because the list still
+// shows it as ready.
+ParameterizedTest(std::size_t* index, BackendDirectory, NoticeOfAServerHolds) {
+  const NoticeRow& row = kNoticeRows[*index];
+  DirectoryFixture fixture;
+  const bool has_start_times = row.change != ListChange::kGoneAndBack;
+  fixture.rows[0].started_at_ms = has_start_times ? 1 : 0;
+  fixture.directory.ApplyListing(fixture.now, {});
+  fixture.directory.ApplyListing(fixture.now, fixture.rows);
+  const auto first = fixture.PlaceAttempt();
+  cr_assert_eq(fixture.NameOf(first), std::string("a"), "%s", row.scenario);
+  fixture.directory.ApplyNotice(fixture.now, *first, row.notice);
+  // The answer that carried the notice, or a later one, does not undo it.
+  fixture.directory.OnAnswer(fixture.now, *first, milliseconds(10),
+                             milliseconds(10), std::nullopt);
+  switch (row.change) {
+    case ListChange::kNone:
+      break;
+    case ListChange::kAnotherStart:
+      fixture.rows[0].started_at_ms = 2;
+      [[fallthrough]];
+    case ListChange::kStillReady:
+      fixture.directory.ApplyListing(fixture.now, fixture.rows);
+      break;
+    case ListChange::kGoneAndBack:
+      fixture.directory.ApplyListing(fixture.now, {});
+      fixture.directory.ApplyListing(fixture.now, fixture.rows);
+      break;
+  }
+  fixture.now += row.wait;
+  const bool chosen_with_others = fixture.NameOf(fixture.PlaceAttempt()) == "a";
+  const bool chosen_alone =
+      fixture.NameOf(fixture.PlaceAttempt(fixture.OtherServers())) == "a";
+  cr_assert_eq(chosen_with_others, row.expect_chosen_with_others,
+               "%s: actual %d", row.scenario, chosen_with_others);
+  cr_assert_eq(chosen_alone, row.expect_chosen_alone, "%s: actual %d",
+               row.scenario, chosen_alone);
+}
+
+// Guards against entry VMs that all return to a server at the end of the same
+// pause.
+Test(BackendDirectory, PausesOfTheSameLengthEndAtDifferentTimes) {
+  std::vector<MonotonicTime> ends;
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    BackendDirectory directory({DataCentreId("here"), {}, seed});
+    const MonotonicTime now(seconds(100));
+    const std::vector<ListedServer> rows = {MakeListedServer("a", "here")};
+    directory.ApplyListing(now, rows);
+    directory.ApplyNotice(now, ServerIndex(1), Pause(seconds(2)));
+    const auto end = directory.FirstPauseEnd(now, kService);
+    cr_assert(end && *end >= now + seconds(2) && *end <= now + seconds(3));
+    ends.push_back(*end);
+  }
+  std::sort(ends.begin(), ends.end());
+  cr_assert(std::adjacent_find(ends.begin(), ends.end()) == ends.end(),
+            "expected 20 different times");
+}
+
 // Guards against failures of an earlier process that are counted for a
 // restarted server with the same id, which would then get no requests.
 Test(BackendDirectory, RestartUnderTheSameIdIsAnotherServer) {
--- a/tests/backend_link_test.cc
+++ b/tests/backend_link_test.cc
@@ -316,6 +316,34 @@
   pool.Stop();
 }
 
+// Guards against a server whose word that it is about to stop is missed,
+// because its reply came after the request had been answered elsewhere.
+Test(BackendLink, AbandonedReplyIsStillSeen) {
+  WorkerPool pool(2);
+  const ScriptedServer server(pool, kOtherAnswer + kAnswer, End::kStaysOpen);
+  const auto strand = std::make_shared<Strand>(pool);
+  const auto links = std::make_shared<BackendLinks>(
+      strand, ReplyLimits{kMaxReplyBytes, kMaxTotalBytes});
+  std::promise<std::string> seen;
+  strand->Post([&] {
+    LinkExchange exchange = MakeExchange([](const LinkOutcome&) {});
+    exchange.on_reply = [&](const BackendReply& reply) {
+      seen.set_value(reply.body());
+    };
+    const auto link = std::make_shared<std::shared_ptr<BackendLink>>();
+    exchange.on_begin = [strand, link] {
+      strand->Post([link] { (*link)->Abandon([](bool) {}); });
+    };
+    *link = links->Begin(ServerIndex(1), Address(), std::chrono::seconds(10),
+                         std::move(exchange));
+  });
+  auto body = seen.get_future();
+  cr_assert(body.wait_for(kWaitLimit) == std::future_status::ready,
+            "expected a reply within 10 s, actual none");
+  cr_assert_eq(body.get(), std::string("ok"));
+  pool.Stop();
+}
+
 // Guards against many replies that take unbounded memory together, although
 // each of them is below its own limit, because bytes that are not parsed yet
 // are not counted.
--- a/tests/forwarding_test.cc
+++ b/tests/forwarding_test.cc
@@ -67,6 +67,23 @@
         this->forwarding->OnFailure(this->now, SendId(send), failure));
   }
 
+  // The server of the send rejects the request and asks for a pause.
+  void RejectWithPause(std::size_t send, Duration pause) {
+    ServerNotice notice;
+    notice.pause = pause;
+    const ServerIndex server = this->servers[send];
+    this->table.Access([&](BackendDirectory& directory) {
+      directory.ApplyNotice(this->now, server, notice);
+    });
+    this->Fail(send, SendFailure::kNotExecuted);
+  }
+
+  Duration CurrentRetryDelay() {
+    return this->table.Access([&](const BackendDirectory& directory) {
+      return RetryDelay(directory, this->now, this->plan);
+    });
+  }
+
   void Wait(Duration time) {
     this->now += time;
     this->CountSteps(this->forwarding->OnTimer(this->now));
@@ -76,12 +93,17 @@
   MonotonicTime now{seconds(100)};
   std::optional<TestForwarding> forwarding;
   std::size_t send_count = 0;
+  // The servers of the sends.
+  std::vector<ServerIndex> servers;
   std::size_t cancel_count = 0;
 
  private:
   void CountSteps(const TestForwarding::Steps& steps) {
     for (const ForwardStep& step : steps) {
-      this->send_count += std::holds_alternative<StartSend>(step) ? 1 : 0;
+      if (const auto* start = std::get_if<StartSend>(&step)) {
+        ++this->send_count;
+        this->servers.push_back(start->server);
+      }
       this->cancel_count += std::holds_alternative<CancelSend>(step) ? 1 : 0;
     }
   }
@@ -215,6 +237,57 @@
 
 namespace {
 
+struct PauseRow {
+  const char* scenario;
+  Duration pause;
+  ForwardState expected_state;
+  // The delay that a refused caller is told.
+  Duration expected_min_delay;
+  Duration expected_max_delay;
+};
+
+const PauseRow kPauseRows[] = {
+    {"no pause", Duration::zero(), ForwardState::kRunning, milliseconds(100),
+     milliseconds(100)},
+    {"a pause that is soon over", milliseconds(40), ForwardState::kRunning,
+     milliseconds(100), milliseconds(100)},
+    {"a longer pause", milliseconds(400), ForwardState::kNotRun,
+     milliseconds(400), milliseconds(500)},
+    {"a pause that is longer than the request", seconds(30),
+     ForwardState::kNotRun, seconds(1), seconds(1)},
+};
+
+}  // namespace
+
+ParameterizedTestParameters(Forwarding, PauseOfAllServersFailsAtOnce) {
+  return RowIndices(kPauseRows);
+}
+
+// Guards against a request that waits until its deadline although all servers
+// have asked for a longer pause, and against callers that return too early.
+ParameterizedTest(std::size_t* index,
+                  Forwarding,
+                  PauseOfAllServersFailsAtOnce) {
+  const PauseRow& row = kPauseRows[*index];
+  ForwardingFixture fixture(1);
+  fixture.plan.is_idempotent = false;
+  fixture.Start();
+  for (std::size_t send = 0; send < 3; ++send) {
+    fixture.RejectWithPause(send, row.pause);
+  }
+  cr_assert_eq(fixture.forwarding->state(), row.expected_state,
+               "%s: expected %s, actual %s", row.scenario,
+               std::string(ToString(row.expected_state)).c_str(),
+               std::string(ToString(fixture.forwarding->state())).c_str());
+  const Duration delay = fixture.CurrentRetryDelay();
+  cr_assert(delay >= row.expected_min_delay && delay <= row.expected_max_delay,
+            "%s: expected %g to %g ms, actual %g ms", row.scenario,
+            ToMilliseconds(row.expected_min_delay),
+            ToMilliseconds(row.expected_max_delay), ToMilliseconds(delay));
+}
+
+namespace {
+
 struct EarlyEndRow {
   const char* scenario;
   bool is_idempotent;
--- a/tests/http_dialect_test.cc
+++ b/tests/http_dialect_test.cc
@@ -2,6 +2,7 @@
 
 #include <criterion/criterion.h>
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -50,6 +51,96 @@
      false, false, true, true},
 };
 
+struct NoticeRow {
+  const char* scenario;
+  BackendReply reply;
+  bool is_leaving;
+  // The pause in milliseconds; absent if the server does not ask for one.
+  std::optional<double> pause_ms;
+  bool has_invalid_pause;
+};
+
+const std::string kLongNumber(400, '9');
+
+const NoticeRow kNotices[] = {
+    {"nothing", MakeReply(200, {}), false, {}, false},
+    {"leaving with a success",
+     MakeReply(200, {{"Server-Leaving", "1"}}),
+     true,
+     {},
+     false},
+    {"leaving with a refusal",
+     MakeReply(503, {{"Server-Leaving", "1"}}),
+     true,
+     {},
+     false},
+    {"leaving with an error",
+     MakeReply(500, {{"server-leaving", "1"}}),
+     true,
+     {},
+     false},
+    {"another value",
+     MakeReply(200, {{"Server-Leaving", "0"}}),
+     false,
+     {},
+     false},
+    {"an empty value",
+     MakeReply(200, {{"Server-Leaving", ""}}),
+     false,
+     {},
+     false},
+    {"a pause of whole seconds", MakeReply(503, {{"Retry-After", "2"}}), false,
+     2000, false},
+    {"a pause with a fraction", MakeReply(503, {{"Retry-After", "0.3"}}), false,
+     300, false},
+    {"no pause", MakeReply(503, {{"Retry-After", "0"}}), false, 0, false},
+    {"a pause with a success",
+     MakeReply(200, {{"Retry-After", "2"}}),
+     false,
+     {},
+     false},
+    {"a pause with another refusal",
+     MakeReply(429, {{"Retry-After", "2"}}),
+     false,
+     {},
+     false},
+    {"a pause above the bound", MakeReply(503, {{"Retry-After", "86400"}}),
+     false, 120'000, false},
+    {"a pause of 400 digits",
+     MakeReply(503, {{"Retry-After", kLongNumber.c_str()}}),
+     false,
+     {},
+     true},
+    {"an infinite pause",
+     MakeReply(503, {{"Retry-After", "inf"}}),
+     false,
+     {},
+     true},
+    {"a pause that is not a number",
+     MakeReply(503, {{"Retry-After", "soon"}}),
+     false,
+     {},
+     true},
+    {"a negative pause",
+     MakeReply(503, {{"Retry-After", "-1"}}),
+     false,
+     {},
+     true},
+    {"a date",
+     MakeReply(503, {{"Retry-After", "Sat, 05 Dec 2026 04:00:00 GMT"}}),
+     false,
+     {},
+     true},
+    {"two pauses", MakeReply(503, {{"Retry-After", "1"}, {"Retry-After", "3"}}),
+     false, 3000, false},
+    {"a pause and text",
+     MakeReply(503, {{"Retry-After", "x"}, {"Retry-After", "3"}}), false, 3000,
+     true},
+    {"leaving and a pause",
+     MakeReply(503, {{"Server-Leaving", "1"}, {"Retry-After", "3"}}), true,
+     3000, false},
+};
+
 CallerRequest MakeRequest() {
   CallerRequest request;
   request.method_string("POST");
@@ -74,6 +165,28 @@
 
 }  // namespace
 
+ParameterizedTestParameters(HttpDialect, NoticeOfAServerIsRead) {
+  return RowIndices(kNotices);
+}
+
+// Guards against a server that gets requests although it said that it is about
+// to stop or asked for a pause, and against one that takes itself out of use
+// for good by a value that can't be read.
+ParameterizedTest(std::size_t* index, HttpDialect, NoticeOfAServerIsRead) {
+  const NoticeRow& row = kNotices[*index];
+  const ServerNotice actual = HttpDialect::ReadNotice(row.reply);
+  cr_assert_eq(actual.is_leaving, row.is_leaving, "%s", row.scenario);
+  cr_assert_eq(actual.has_invalid_pause, row.has_invalid_pause, "%s",
+               row.scenario);
+  cr_assert_eq(actual.pause.has_value(), row.pause_ms.has_value(), "%s",
+               row.scenario);
+  if (actual.pause) {
+    cr_assert_eq(ToMilliseconds(*actual.pause), *row.pause_ms,
+                 "%s: expected %g ms, actual %g ms", row.scenario,
+                 *row.pause_ms, ToMilliseconds(*actual.pause));
+  }
+}
+
 ParameterizedTestParameters(HttpDialect, ReplyHeadTellsWhetherRequestRan) {
   return RowIndices(kReplies);
 }
--- a/tests/platform/platform_standin.cc
+++ b/tests/platform/platform_standin.cc
@@ -3,15 +3,20 @@
 // not executed, and one whose path contains "/silent" runs without an answer.
 // If the path contains "/late-copy", each server refuses the request once. It
 // runs the request when that arrives again, and sends a copy of the refusal
-// before the answer if both arrive on the same connection.
+// before the answer if both arrive on the same connection. A server whose id
+// follows "/leave/" in the path says from then on that it is leaving, and one
+// whose id follows "/pause/" refuses all requests for 2 s and asks for a pause
+// of what is left of them. The list does not change.
 
 #include <fmt/format.h>
 
 #include <atomic>
+#include <chrono>
 #include <fstream>
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -27,6 +32,7 @@
 
 constexpr std::size_t kMaxConnections = 1'000;
 constexpr std::uint16_t kServerPort = 9000;
+constexpr auto kPauseTime = std::chrono::seconds(2);
 
 struct StandinSettings {
   Endpoint list{"127.0.0.1", 7300};
@@ -163,6 +169,23 @@
           false);
       return;
     }
+    if (target.find("/leave/" + server.id) != std::string::npos) {
+      this->leaving_servers.insert(server.id);
+    }
+    const auto now = std::chrono::steady_clock::now();
+    if (target.find("/pause/" + server.id) != std::string::npos) {
+      this->pause_ends.try_emplace(server.id, now + kPauseTime);
+    }
+    const auto pause = this->pause_ends.find(server.id);
+    if (pause != this->pause_ends.end() && now < pause->second) {
+      this->record.Add(fmt::format(
+          "paused {} {}", FieldOf(request, "X-Request-Id"), server.id));
+      const std::chrono::duration<double> left = pause->second - now;
+      const std::string fields = fmt::format(
+          "X-Not-Executed: 1\r\nRetry-After: {:.3f}\r\n", left.count());
+      session->Answer(FormatReply(server, request, 503, fields, ""), false);
+      return;
+    }
     std::string late_copy;
     if (target.find("/late-copy") != std::string::npos) {
       const std::string refusal =
@@ -182,7 +205,9 @@
     }
     // Two records of 16 bytes, followed by an incomplete record of 2 bytes.
     const std::string body(34, server.service.back());
-    session->Answer(late_copy + FormatReply(server, request, 200, "", body),
+    const bool is_leaving = this->leaving_servers.contains(server.id);
+    const std::string fields = is_leaving ? "Server-Leaving: 1\r\n" : "";
+    session->Answer(late_copy + FormatReply(server, request, 200, fields, body),
                     false);
   }
 
@@ -207,6 +232,9 @@
   // Used only on the one strand that all servers share.
   std::map<std::pair<std::string, std::string>, std::weak_ptr<CallerSession>>
       first_sessions;
+  // Used only on that strand as well.
+  std::set<std::string> leaving_servers;
+  std::map<std::string, std::chrono::steady_clock::time_point> pause_ends;
   WorkerPool pool;
   std::vector<std::unique_ptr<CallerListener>> listeners;
   std::unique_ptr<HttpServer> list;
--- a/tests/platform/system.sh
+++ b/tests/platform/system.sh
@@ -13,6 +13,8 @@
 list=$base.2.1:7300
 # The time after a signal until the platform kills an entry VM.
 stop_bound_s=${stop_bound_s:-6}
+# The number of servers of each service.
+replicas=${replicas:-2}
 # The users require that a configuration is acknowledged within `ack_ms` and that
 # all VMs recover within `recovery_ms`.
 ack_ms=5000
@@ -115,7 +117,7 @@
 run_count() { grep -c "^$1 " "$work/record" || true; }
 
 start_standin() {
-  "$bin/platform-standin" --list=$list --services=s1,s2 --replicas=2 \
+  "$bin/platform-standin" --list=$list --services=s1,s2 --replicas=$replicas \
     --network=$base.1 --record="$work/record" >"$work/standin.log" 2>&1 &
   pids[standin]=$!
   disown
