Try control VMs with the fewest recent failures first

Added routes got 404, moved ones ran at the old service.

Cause: a local control VM was preferred whenever its back-off of 50 ms was over. A frozen one accepts each connection and is silent for 1.5 s; if the next endpoint was that of a removed machine, the connect took 200 ms, the frozen one was due again, and the endpoints behind were never tried.

Change: among control VMs that are not in back-off, the one with the fewest failures in a row comes first, then the local one. A failure counts for 10 s after its back-off, the time after which a local control VM may replace a working stream, as before.

--- a/src/policy/control_choice.cc
+++ b/src/policy/control_choice.cc
@@ -14,9 +14,10 @@
 // The time until a control VM without a quorum is tried again.
 constexpr Duration kNoQuorumBackoff = std::chrono::seconds(2);
 
-// The time after the back-off of a failed local control VM during which it does
-// not yet replace a working stream to another data centre.
-constexpr Duration kReturnToLocalDelay = std::chrono::seconds(10);
+// The time after the back-off of a failed control VM during which others are
+// preferred. If it is local, it does not yet replace a working stream to
+// another data centre.
+constexpr Duration kFailureMemory = std::chrono::seconds(10);
 
 }  // namespace
 
@@ -76,22 +77,9 @@
 ControlChoice::Attempt ControlChoice::NextAttempt(MonotonicTime now) {
   const std::size_t candidate_count = this->candidates.size();
   std::size_t best_index = (this->last_attempt_index + 1) % candidate_count;
-  for (std::size_t step = 1; step <= candidate_count; ++step) {
+  for (std::size_t step = 2; step <= candidate_count; ++step) {
     const std::size_t i = (this->last_attempt_index + step) % candidate_count;
-    const bool best_has_to_wait = this->candidates[best_index].not_before > now;
-    const bool is_better_local =
-        this->candidates[i].is_local && !this->candidates[best_index].is_local;
-    if (this->candidates[i].not_before <= now) {
-      if (best_has_to_wait || is_better_local) {
-        best_index = i;
-      }
-      continue;
-    }
-    if (!best_has_to_wait) {
-      continue;
-    }
-    if (this->candidates[i].not_before <
-        this->candidates[best_index].not_before) {
+    if (IsBetter(now, this->candidates[i], this->candidates[best_index])) {
       best_index = i;
     }
   }
@@ -100,6 +88,30 @@
   return {chosen.endpoint, std::max(now, chosen.not_before)};
 }
 
+bool ControlChoice::IsBetter(MonotonicTime now,
+                             const Candidate& one,
+                             const Candidate& other) {
+  const bool must_wait = one.not_before > now;
+  if (must_wait || other.not_before > now) {
+    return must_wait ? one.not_before < other.not_before : true;
+  }
+  // A local control VM that is frozen accepts each connection and is then
+  // silent. Without this rule it would be tried again before the others.
+  const std::uint32_t failures = RecentFailures(now, one);
+  const std::uint32_t other_failures = RecentFailures(now, other);
+  if (failures != other_failures) {
+    return failures < other_failures;
+  }
+  return one.is_local && !other.is_local;
+}
+
+std::uint32_t ControlChoice::RecentFailures(MonotonicTime now,
+                                            const Candidate& candidate) {
+  return now < candidate.not_before + kFailureMemory
+             ? candidate.consecutive_failures
+             : 0;
+}
+
 bool ControlChoice::HasLocalAlternative(MonotonicTime now,
                                         const Endpoint& current) const {
   const auto is_local = [&](const Candidate& candidate) {
@@ -109,12 +121,9 @@
                       is_local) &&
          std::any_of(this->candidates.begin(), this->candidates.end(),
                      [&](const Candidate& candidate) {
-                       const Duration return_delay =
-                           candidate.consecutive_failures == 0
-                               ? Duration::zero()
-                               : kReturnToLocalDelay;
                        return candidate.is_local &&
-                              candidate.not_before + return_delay <= now;
+                              candidate.not_before <= now &&
+                              RecentFailures(now, candidate) == 0;
                      });
 }
 
--- a/src/policy/control_choice.h
+++ b/src/policy/control_choice.h
@@ -40,9 +40,10 @@
   // data centre. Local control VMs are tried before others.
   void AddEndpoint(const Endpoint& endpoint, bool is_local);
 
-  // Returns the next attempt. Prefers control VMs that are not in back-off, and
-  // among these the local ones. If all are in back-off, returns the one whose
-  // back-off ends first. Control VMs that are equal in this are tried in turn.
+  // Returns the next attempt. Prefers control VMs that are not in back-off,
+  // among these the ones with the fewest recent failures, and among these the
+  // local ones. If all are in back-off, returns the one whose back-off ends
+  // first. Control VMs that are equal in this are tried in turn.
   Attempt NextAttempt(MonotonicTime now);
 
   // Queries.
@@ -63,6 +64,13 @@
     MonotonicTime not_before = MonotonicTime::min();
   };
 
+  // True if an attempt should go to `one` rather than to `other`.
+  static bool IsBetter(MonotonicTime now,
+                       const Candidate& one,
+                       const Candidate& other);
+  // The consecutive failures, or 0 if the last one was long ago.
+  static std::uint32_t RecentFailures(MonotonicTime now,
+                                      const Candidate& candidate);
   // Returns null if the endpoint is unknown.
   Candidate* FindCandidate(const Endpoint& endpoint);
 
