--- a/src/net/control/control_driver.cc
+++ b/src/net/control/control_driver.cc
@@ -38,7 +38,7 @@
       on_lists_changed(std::move(lists_changed_handler)),
       storage(std::move(file_storage), counters.storage),
       random(SystemSeed()),
-      extra_compact_entries(this->DrawExtraCompactEntries()) {}
+      compaction(settings.compaction, SystemSeed()) {}
 
 Result<void> ControlDriver::Impl::Prepare() {
   this->links = std::make_unique<PeerLinks>(
--- a/src/net/control/control_driver.h
+++ b/src/net/control/control_driver.h
@@ -15,6 +15,7 @@
 #include "src/core/settings_values.h"
 #include "src/net/control/counted_storage.h"
 #include "src/net/worker_pool.h"
+#include "src/policy/compaction_schedule.h"
 #include "src/replication/replica_types.h"
 #include "src/tables/control_table.h"
 #include "src/wire/control_messages.h"
@@ -36,9 +37,7 @@
   // The role in which an empty disk joins a group.
   MemberRole join_as = MemberRole::kSpare;
   ReplicaSettings replica;
-  // Minimum number of entries applied between two snapshots. Each member adds a
-  // random number of entries below this number.
-  std::uint64_t compact_entries = 8'192;
+  CompactionSettings compaction;
 };
 
 // Counts since the process started.
--- a/src/net/control/control_driver_outputs.cc
+++ b/src/net/control/control_driver_outputs.cc
@@ -63,13 +63,12 @@
     AbortOnUnreadableData("snapshot", snapshot.index, *error);
   }
   this->applied_index = snapshot.index;
-  this->snapshot_bytes = snapshot.data.size();
-  this->applied_bytes = 0;
+  this->compaction.OnSnapshot(snapshot.data.size());
 }
 
 void ControlDriver::Impl::ApplyEntry(const LogEntry& entry) {
   this->applied_index = entry.index;
-  this->applied_bytes += entry.payload.size();
+  this->compaction.OnApplied(entry.payload.size());
   EntryOutcome outcome = EntryCommitted();
   if (entry.kind == EntryKind::kCommand) {
     const auto command =
@@ -130,24 +129,13 @@
   }
 }
 
-// A snapshot is as large as the whole state, so none is written until as many
-// bytes have been applied as the last one had. The random delay differs between
-// members. Without it, all members would write a snapshot after the same entry
-// and stall at the same time, and the group would lose its leader.
 void ControlDriver::Impl::CompactIfDue() {
-  const std::uint64_t entries_since_snapshot =
-      this->applied_index.value() - this->replica->snapshot_index().value();
-  if (entries_since_snapshot <
-          this->settings.compact_entries + this->extra_compact_entries ||
-      this->applied_bytes < this->snapshot_bytes ||
-      this->replica->storage_failed()) {
+  if (!this->compaction.IsDue() || this->replica->storage_failed()) {
     return;
   }
   std::string snapshot = this->table.Serialise();
-  this->snapshot_bytes = snapshot.size();
+  this->compaction.OnSnapshot(snapshot.size());
   this->counters.snapshot_bytes = snapshot.size();
-  this->applied_bytes = 0;
-  this->extra_compact_entries = this->DrawExtraCompactEntries();
   LogEvent(
       LogLevel::kInfo, "snapshot",
       {{"index", this->applied_index.value()}, {"bytes", snapshot.size()}});
@@ -156,10 +144,6 @@
   this->LogIfSlowSync("snapshot", this->clock.Now() - began_at);
 }
 
-std::uint64_t ControlDriver::Impl::DrawExtraCompactEntries() {
-  return this->random.NextBelow(this->settings.compact_entries);
-}
-
 void ControlDriver::Impl::PublishStatus() {
   ControlStatus status;
   status.self = this->OwnMember();
--- a/src/net/control/detail/control_driver_impl.h
+++ b/src/net/control/detail/control_driver_impl.h
@@ -124,7 +124,6 @@
   void ProbeFailedStorage(MonotonicTime now);
   void FailStaleTermEntries();
   void CompactIfDue();
-  std::uint64_t DrawExtraCompactEntries();
   void PublishStatus();
   void ReportListsChanged();
   // Runs `call` at the end of the current batch, after `mutex` is released.
@@ -154,9 +153,7 @@
   Storage storage;
   DiskId disk;
   SeededRandom random;
-  // Random number of entries by which the next snapshot is delayed beyond
-  // `ControlDriverSettings::compact_entries`. It differs between members.
-  std::uint64_t extra_compact_entries;
+  CompactionSchedule compaction;
   // Absent until the first membership is known.
   std::optional<DriverReplica> replica;
   std::optional<GroupFormation> formation;
@@ -174,10 +171,6 @@
   LogIndex reported_lists_index;
   bool has_quorum = false;
   bool reported_has_quorum = false;
-  // Payload bytes applied since the last snapshot, and the size of that
-  // snapshot in bytes.
-  std::uint64_t applied_bytes = 0;
-  std::uint64_t snapshot_bytes = 0;
   std::function<void()> on_storage_usable;
   MonotonicTime next_storage_probe_at;
   MonotonicTime next_hello_at;
--- a/src/programs/marigold_control.cc
+++ b/src/programs/marigold_control.cc
@@ -25,6 +25,7 @@
   Duration election_timeout = std::chrono::milliseconds(500);
   Duration replace_after = std::chrono::seconds(30);
   std::int64_t compact_entries = 8'192;
+  std::int64_t compact_bytes = 8 * 1024 * 1024;
   std::int64_t workers = 4;
   std::string log_level = "info";
 };
@@ -60,6 +61,10 @@
                         "place; 0 turns it off.");
   table.AddNumber("compact-entries", settings.compact_entries, 16, 10'000'000,
                   "entries", "Applied entries between snapshots.");
+  table.AddNumber("compact-bytes", settings.compact_bytes, 64 * 1024,
+                  1'000'000'000, "bytes",
+                  "Bytes of applied entries after which a snapshot is written "
+                  "even if they are fewer.");
   table.AddNumber("workers", settings.workers, 2, 64, "threads",
                   "Threads that run handlers.");
   table.AddChoice("log-level", settings.log_level,
@@ -101,7 +106,9 @@
   driver.replica.heartbeat_interval = settings.heartbeat;
   driver.replica.election_timeout = settings.election_timeout;
   driver.replica.replace_after = settings.replace_after;
-  driver.compact_entries = static_cast<std::uint64_t>(settings.compact_entries);
+  driver.compaction.entries =
+      static_cast<std::uint64_t>(settings.compact_entries);
+  driver.compaction.bytes = static_cast<std::uint64_t>(settings.compact_bytes);
   return driver;
 }
 
