Answer pipelined requests

Cause: FinishCall answered first and then removed the entry of the session from the calls in progress. The session begins its next request while it sends the answer, so the entry that was removed, and destroyed, was that of the next call.

Change: the entry is removed before the answer is sent.

--- a/src/net/forward/call_end.cc
+++ b/src/net/forward/call_end.cc
@@ -14,6 +14,9 @@
   summary.state = caller.is_disconnected ? "caller_gone" : ToString(state);
   metrics.OnFinished(summary.state, summary.latency);
   log.Write(summary);
+  // Called before the answer, because the session may begin its next request
+  // while it sends the answer.
+  caller.on_finished();
   if (!caller.is_disconnected) {
     // If this entry VM could not send the request to any server, the connection
     // closes: over a new connection the caller may reach another entry VM.
@@ -22,7 +25,6 @@
         (state == ForwardState::kNotRun && summary.send_count == 0);
     caller.session->Answer(encode(closes_connection), closes_connection);
   }
-  caller.on_finished();
 }
 
 }  // namespace marigold
--- a/tests/process/platform_path.sh
+++ b/tests/process/platform_path.sh
@@ -46,6 +46,16 @@
 start_entry 1
 within $recovery_ms "entry VM 1 is ready again" is_ready 1
 
+# Two requests that arrive together must both be answered, each after the other.
+# The second one begins while the first one ends.
+send_pipelined() {
+  exec 3<>"/dev/tcp/$net.11/8080"
+  printf 'GET /x/%s HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: p-%s\r\n\r\n' \
+    1 1 2 2 3 3 >&3
+  timeout 3 grep -a --max-count=3 -o 'HTTP/1.1 [0-9]*' <&3 || true
+}
+expect "pipelined requests are answered" "$(printf 'HTTP/1.1 200\n%.0s' 1 2 3)" "$(send_pipelined)"
+
 expect "an unknown route is not found" 404 "$(send_request 1 q-2 /none/)"
 expect "an action runs" 200 "$(send_request 1 a-1 /act/1 -X POST -d 'x=1')"
 expect "the action ran once" 1 "$(run_count a-1)"
