Leave the body out of the answer to a HEAD request

Cause: own answers were written without regard to the method; only a backend server's reply to HEAD was read as one without a body.

Change: the session, through which all answers go, sends the header alone.

Measured: platform_path.sh fails without the change ("no route matches" after the header) and passes with it.

--- a/src/net/forward/caller_session.cc
+++ b/src/net/forward/caller_session.cc
@@ -46,6 +46,14 @@
   return Duration(info.tcpi_rtt);
 }
 
+// Returns the size of the header of a response, with the empty line after it.
+std::size_t HeaderSize(std::string_view response) {
+  constexpr std::string_view kHeaderEnd = "\r\n\r\n";
+  const std::size_t end = response.find(kHeaderEnd);
+  return end == std::string_view::npos ? response.size()
+                                       : end + kHeaderEnd.size();
+}
+
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
 }  // namespace
@@ -73,6 +81,7 @@
   this->state_began_at = this->strand->Now();
   this->limits = this->handlers->limits();
   this->has_sent_continue = false;
+  this->is_head = false;
   this->parser.emplace();
   this->parser->eager(true);
   this->parser->header_limit(
@@ -167,6 +176,7 @@
     this->state = State::kHandling;
     CallerRequest request = this->parser->release();
     this->keeps_alive = request.keep_alive();
+    this->is_head = request.method() == http::verb::head;
     this->AwaitBytes();
     this->handlers->on_request(this->shared_from_this(), std::move(request));
     return;
@@ -199,6 +209,9 @@
   this->state_began_at = this->strand->Now();
   this->closes_after_write = closes_connection;
   this->outgoing = std::move(bytes);
+  if (this->is_head) {
+    this->outgoing.resize(HeaderSize(this->outgoing));
+  }
   ErrorCode error;
   const std::size_t sent =
       this->socket.write_some(asio::buffer(this->outgoing), error);
--- a/src/net/forward/caller_session.h
+++ b/src/net/forward/caller_session.h
@@ -61,8 +61,9 @@
   void Start();
 
   // Sends the answer to the request in progress. `bytes` is a whole HTTP
-  // response whose Connection field agrees with `closes_connection`. Does
-  // nothing if no request is in progress.
+  // response whose Connection field agrees with `closes_connection`. Its body
+  // is left out if the request is a HEAD request. Does nothing if no request is
+  // in progress.
   void Answer(std::string bytes, bool closes_connection);
 
   // Closes the connection if no byte of a new request has arrived.
@@ -119,6 +120,7 @@
   CallerLimits limits;
   State state = State::kIdle;
   bool keeps_alive = true;
+  bool is_head = false;
   bool closes_after_write = false;
   bool is_wait_pending = false;
   bool is_read_closed = false;
--- a/tests/process/platform_path.sh
+++ b/tests/process/platform_path.sh
@@ -56,6 +56,17 @@
 }
 expect "pipelined requests are answered" "$(printf 'HTTP/1.1 200\n%.0s' 1 2 3)" "$(send_pipelined)"
 
+# The answer to a HEAD request has no body; its bytes would be taken for the start of
+# the next answer.
+head_request() {
+  exec 3<>"/dev/tcp/$net.11/8080"
+  printf 'HEAD %s HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: h-1\r\n%s\r\n' "$1" \
+    $'Connection: close\r\n' >&3
+  timeout 3 cat <&3 | tr -d '\r' | sed '1,/^$/d'
+}
+expect "the refusal of a HEAD request has no body" "" "$(head_request /none/)"
+expect "the answer to a HEAD request has no body" "" "$(head_request /act/1)"
+
 expect "an unknown route is not found" 404 "$(send_request 1 q-2 /none/)"
 expect "an action runs" 200 "$(send_request 1 a-1 /act/1 -X POST -d 'x=1')"
 expect "the action ran once" 1 "$(run_count a-1)"
