Remove a log segment that has no header

Found by the review: a loss of power can leave a new log segment empty or with a part of its header. The next start took it for a segment without entries and appended records to it without a header. The start after that failed for good ("expected a valid record of index 9"), so a member lost what it had acknowledged.

Cause: the length of the valid part was 0, and nothing made the segment new.

Change: such a segment is removed on load; the next append starts it anew, with a header. A segment with a damaged header before valid records is refused as before.

--- a/src/replication/file_storage_load.cc
+++ b/src/replication/file_storage_load.cc
@@ -157,6 +157,11 @@
     return entry.index <= snapshot_index;
   });
   BOOST_LEAF_CHECK(this->OpenLastSegment());
+  // A loss of power can leave a new segment without its header. No entry could
+  // be read back from it any more.
+  if (!this->segments.empty() && this->segments.back().size == 0) {
+    BOOST_LEAF_CHECK(this->RemoveLastSegment());
+  }
   // If the snapshot covers all entries of the last segment, the next entry need
   // not follow the last one in it, so the segment cannot be extended.
   if (!this->segments.empty() && stored.entries.empty()) {
--- a/tests/file_damage_test.cc
+++ b/tests/file_damage_test.cc
@@ -50,6 +50,8 @@
     {"last segment without records", SegmentName(9), DamageKind::kResize, 8, 8,
      0},
     {"last segment empty", SegmentName(9), DamageKind::kResize, 0, 8, 0},
+    {"last segment with half a header", SegmentName(9), DamageKind::kResize, 4,
+     8, 0},
     {"byte of last but one record flipped", SegmentName(9), DamageKind::kFlip,
      57, 0, 8},
     {"byte of last segment header flipped", SegmentName(9), DamageKind::kFlip,
@@ -162,13 +164,26 @@
                row.last_index, actual);
   // A second load does not return the truncated record, and the log can be
   // appended to.
-  OpenResult opened = OpenFolder(folder.path);
-  FileStorage& storage = std::get<FileStorage>(opened);
-  const auto reloaded = storage.Load();
-  cr_assert(reloaded && reloaded.value().entries.size() == row.last_index - 2);
-  const auto error =
-      ErrorOf([&] { return storage.Append({EntryAt(row.last_index + 1)}); });
-  cr_assert(!error, "%s: %s", row.name, DescribeOutcome(error).c_str());
+  {
+    OpenResult opened = OpenFolder(folder.path);
+    FileStorage& storage = std::get<FileStorage>(opened);
+    const auto reloaded = storage.Load();
+    cr_assert(reloaded &&
+              reloaded.value().entries.size() == row.last_index - 2);
+    const auto error = ErrorOf([&]() -> Result<void> {
+      BOOST_LEAF_CHECK(storage.Append({EntryAt(row.last_index + 1)}));
+      return storage.Sync();
+    });
+    cr_assert(!error, "%s: %s", row.name, DescribeOutcome(error).c_str());
+  }
+  // What was appended after the damage is still there after another start.
+  const auto restarted = LoadFolder(folder.path);
+  const auto* final_state = std::get_if<StoredState>(&restarted);
+  cr_assert(final_state != nullptr, "%s: expected the folder to load: %s",
+            row.name, DescribeOutcome(std::get<AnyError>(restarted)).c_str());
+  cr_assert_eq(final_state->entries.size(), row.last_index - 1,
+               "%s: expected %lu entries, actual %zu", row.name,
+               row.last_index - 1, final_state->entries.size());
 }
 
 ParameterizedTestParameters(FileDamage, EveryWriteFailsAfterAFailure) {
