Remove a silent spare when the control group is full

Found by the review: after the 12th replacement of one of four control VMs the group lost its quorum, though all four ran, and no change was acknowledged.

Cause: a VM that was replaced by one at another address was demoted to a spare and stayed a member for ever. A group of 13 members admitted no newcomer, so that the next lost voter had no successor.

Change: the decision whom to admit is PlanAdmission, without I/O. In a full group the spare that has been silent longest, and for replace_after at least, is removed first. A spare does not vote, so no quorum changes.

--- a/src/net/control/control_driver_inputs.cc
+++ b/src/net/control/control_driver_inputs.cc
@@ -3,15 +3,12 @@
 
 #include "src/core/log.h"
 #include "src/net/control/detail/control_driver_impl.h"
+#include "src/replication/admission.h"
 
 namespace marigold {
 
 namespace {
 
-// Maximum number of members of the group. The design reserves at most this
-// number of VMs for control.
-constexpr std::size_t kMaxMembers = 13;
-
 constexpr std::size_t kMaxPendingEntries = 16'384;
 
 // Commands are deferred for at most this time, which is longer than most
@@ -87,33 +84,17 @@
   }
 }
 
-// Adds a new disk to the group if this VM is the leader. Another disk that is
-// listed at the same address has been replaced. It is removed first, unless it
-// is still a voter.
+// Proposes the next change that adds a new disk to the group, if this VM is the
+// leader. The other VM repeats its request until the group lists the disk.
 void ControlDriver::Impl::AdmitMember(MonotonicTime now, const Member& member) {
   if (this->replica->role() != ReplicaRole::kLeader) {
     return;
   }
-  const Membership& membership = this->replica->membership();
-  const auto replaced = std::find_if(
-      membership.members.begin(), membership.members.end(),
-      [&](const Member& old) {
-        return old.address == member.address && old.disk != member.disk &&
-               old.role != MemberRole::kVoter;
-      });
-  MembershipChange change;
-  if (replaced != membership.members.end()) {
-    change = {MembershipChange::Kind::kRemove, *replaced};
-  } else if (membership.Find(member.disk) == nullptr &&
-             membership.members.size() < kMaxMembers) {
-    change = {MembershipChange::Kind::kAdd, member};
-    if (change.member.role == MemberRole::kVoter) {
-      change.member.role = MemberRole::kSpare;
-    }
-  } else {
-    return;
+  const auto change = PlanAdmission(this->replica->membership(), member,
+                                    this->replica->SilentSpares(now));
+  if (change) {
+    this->replica->ProposeMembership(now, this->clock.WallNow(), *change);
   }
-  this->replica->ProposeMembership(now, this->clock.WallNow(), change);
 }
 
 void ControlDriver::Impl::On(MonotonicTime /*now*/,
--- a/src/replication/detail/consensus.cc
+++ b/src/replication/detail/consensus.cc
@@ -226,4 +226,10 @@
   return this->state.commit_index;
 }
 
+std::vector<DiskId> Consensus::SilentSpares(MonotonicTime now) const {
+  return this->state.role == ReplicaRole::kLeader
+             ? this->leadership.SilentSpares(this->state, now)
+             : std::vector<DiskId>();
+}
+
 }  // namespace marigold::detail
--- a/src/replication/detail/consensus.h
+++ b/src/replication/detail/consensus.h
@@ -68,6 +68,7 @@
                                                     std::string data) const;
   MonotonicTime NextTick() const;
   std::optional<LogIndex> ReadIndex(MonotonicTime now) const;
+  std::vector<DiskId> SilentSpares(MonotonicTime now) const;
   const ReplicaState& replica_state() const { return this->state; }
 
  private:
--- a/src/replication/detail/leadership.h
+++ b/src/replication/detail/leadership.h
@@ -71,6 +71,10 @@
   LogIndex AcknowledgedByEarlierBoots(const DiskId& disk) const;
   // True if this leader is no longer a voter in a committed membership.
   bool MustStepDown(const ReplicaState& state) const;
+  // Returns the spares not heard from for `replace_after`, the longest silent
+  // one first.
+  std::vector<DiskId> SilentSpares(const ReplicaState& state,
+                                   MonotonicTime now) const;
   // True once an entry of the current term is committed, and all entries of
   // earlier terms with it.
   bool HasCommittedInTerm(const ReplicaState& state) const;
--- a/src/replication/detail/leadership_members.cc
+++ b/src/replication/detail/leadership_members.cc
@@ -110,6 +110,28 @@
   return lost_voters;
 }
 
+std::vector<DiskId> Leadership::SilentSpares(const ReplicaState& state,
+                                             MonotonicTime now) const {
+  std::vector<std::pair<MonotonicTime, DiskId>> silent;
+  for (const Member& member : state.membership().members) {
+    const auto progress = this->progress_by_disk.find(member.disk);
+    if (member.role != MemberRole::kSpare ||
+        progress == this->progress_by_disk.end()) {
+      continue;
+    }
+    const MonotonicTime last_contact = progress->second.last_contact();
+    if (now >= last_contact + state.settings.replace_after) {
+      silent.emplace_back(last_contact, member.disk);
+    }
+  }
+  std::sort(silent.begin(), silent.end());
+  std::vector<DiskId> disks;
+  for (auto& [last_contact, disk] : silent) {
+    disks.push_back(std::move(disk));
+  }
+  return disks;
+}
+
 std::vector<DiskId> Leadership::CaughtUpSpares(
     const ReplicaState& state) const {
   std::vector<DiskId> caught_up;
--- a/src/replication/replica.h
+++ b/src/replication/replica.h
@@ -133,6 +133,12 @@
   bool is_boot_unconfirmed() const {
     return this->replica_state().boot_unconfirmed;
   }
+  // Returns the spares that this leader has not heard from for
+  // `ReplicaSettings::replace_after`, the longest silent one first. Returns
+  // nothing if this replica does not lead.
+  std::vector<DiskId> SilentSpares(MonotonicTime now) const {
+    return this->consensus->SilentSpares(now);
+  }
   // Returns the commit index if this replica leads, has committed an entry in
   // its term and has heard from a quorum within its lease. A read at that index
   // is not stale. Returns nothing otherwise.
--- a/tests/membership_test.cc
+++ b/tests/membership_test.cc
@@ -2,6 +2,7 @@
 #include <criterion/parameterized.h>
 
 #include <string>
+#include <vector>
 
 #include "src/replication/detail/membership_rules.h"
 #include "tests/replication_group.h"
@@ -130,6 +131,45 @@
       actual.c_str());
 }
 
+// Guards against a group that admits no newcomer after some replacements,
+// because the VMs that were replaced are still members, and then loses its
+// quorum although enough VMs run.
+Test(Membership, ManyReplacementsInARowKeepTheGroup) {
+  constexpr int kReplacements = 30;
+  ReplicaSettings settings;
+  settings.replace_after = seconds(5);
+  settings.target_voters = 3;
+  TestGroup group(3, settings);
+  group.AwaitLeader();
+  std::vector<std::string> running = {"a", "b", "c"};
+  for (int i = 0; i < kReplacements; ++i) {
+    // The new VM starts, asks to join until it is a member, and the VM that it
+    // replaces goes.
+    const std::string name = "new-" + std::to_string(i);
+    Member newcomer = TestGroup::MakeMember(name, MemberRole::kSpare);
+    newcomer.address.port = static_cast<std::uint16_t>(100 + i);
+    group.Start(name);
+    const auto is_member = [&] {
+      return group.ReplicaOf(group.AwaitLeader())
+                 .membership()
+                 .Find(newcomer.disk) != nullptr;
+    };
+    for (int tries = 0; tries < 100 && !is_member(); ++tries) {
+      group.Admit(newcomer);
+      group.Run(milliseconds(100));
+    }
+    cr_assert(is_member(), "replacement %d: expected the VM to be a member", i);
+    group.Run(seconds(2));
+    group.Crash(running.front());
+    running.erase(running.begin());
+    running.push_back(name);
+    group.Run(seconds(12));
+    cr_assert_eq(RunningVoters(group), 3U,
+                 "replacement %d: expected 3 running voters, actual %zu", i,
+                 RunningVoters(group));
+  }
+}
+
 // Guards against two uncommitted changes at once, whose quorums need not
 // overlap.
 Test(Membership, RefusesASecondChangeBeforeTheFirstCommits) {
--- a/tests/replication_group.h
+++ b/tests/replication_group.h
@@ -17,6 +17,7 @@
 #include "src/core/invariant.h"
 #include "src/core/log.h"
 #include "src/core/random.h"
+#include "src/replication/admission.h"
 #include "src/replication/replica.h"
 #include "tests/memory_storage.h"
 #include "tests/row_indices.h"
@@ -176,6 +177,16 @@
     this->Run(std::chrono::milliseconds(300));
     return status;
   }
+  // Lets the leader propose the next change that admits the member, as it does
+  // each time the member asks to join.
+  void Admit(const Member& newcomer) {
+    TestReplica& leader = this->ReplicaOf(this->AwaitLeader());
+    const auto change = PlanAdmission(leader.membership(), newcomer,
+                                      leader.SilentSpares(this->now));
+    if (change) {
+      leader.ProposeMembership(this->now, WallTime(), *change);
+    }
+  }
   // Proposes on the leader. Returns whether the leader has applied the payload
   // within `limit`.
   bool Commit(const std::string& payload,
