--- a/src/programs/forward_process.h
+++ b/src/programs/forward_process.h
@@ -1,7 +1,6 @@
 #ifndef SRC_PROGRAMS_FORWARD_PROCESS_H_
 #define SRC_PROGRAMS_FORWARD_PROCESS_H_
 
-#include <fmt/format.h>
 #include <unistd.h>
 
 #include <atomic>
@@ -20,7 +19,7 @@
 #include "src/net/http/http_server.h"
 #include "src/net/listing/listing_poller.h"
 #include "src/policy/listing_schedule.h"
-#include "src/policy/route_reachability.h"
+#include "src/programs/forward_admin.h"
 #include "src/programs/forward_settings.h"
 
 namespace marigold {
@@ -38,7 +37,11 @@
                     DataCentreId(process_settings.data_centre),
                     ToFanOutSettings(process_settings)),
         pool(process_settings.workers),
-        control(pool, lists, listing, ToControlSettings(process_settings)) {}
+        control(pool, lists, listing, ToControlSettings(process_settings)),
+        answers(
+            {settings, lists, listing, backends, metrics, lifecycle,
+             [this] { return this->knows_routes(); },
+             [this] { return this->caller_listener->open_connections(); }}) {}
 
   ForwardProcess(const ForwardProcess&) = delete;
   ForwardProcess& operator=(const ForwardProcess&) = delete;
@@ -81,8 +84,6 @@
   static constexpr Duration kLastAnswerMargin = std::chrono::milliseconds(200);
   static constexpr Duration kTickInterval = std::chrono::milliseconds(250);
   static constexpr std::uint64_t kMaxFirstReadDelayMs = 600;
-  static constexpr int kStatusUnavailable = 503;
-  static constexpr int kStatusNotFound = 404;
 
   static DirectorySettings ToDirectorySettings(
       const ForwardSettings& settings) {
@@ -148,12 +149,12 @@
             [this](const std::shared_ptr<Strand>& strand) {
               return this->ForwarderOf(strand)->CreateHandlers();
             }));
-    BOOST_LEAF_ASSIGN(this->admin,
-                      HttpServer::Listen(this->pool, this->settings.admin, {},
-                                         [this](const HttpRequest& request,
-                                                const HttpResponder& respond) {
-                                           respond(this->AnswerAdmin(request));
-                                         }));
+    BOOST_LEAF_ASSIGN(this->admin, HttpServer::Listen(
+                                       this->pool, this->settings.admin, {},
+                                       [this](const HttpRequest& request,
+                                              const HttpResponder& respond) {
+                                         respond(this->answers.Answer(request));
+                                       }));
     this->control.SetHintsHandler([this](const ServerHints& received) {
       const MonotonicTime now = this->clock.Now();
       this->backends.Access([&](BackendDirectory& directory) {
@@ -231,7 +232,7 @@
              {{"servers", servers->size()},
               {"retired", retired.size()},
               {"hash", this->listing.Summary().hash.value()},
-              {"age_ms", this->ListingAgeMs()}});
+              {"age_ms", ListingAgeMs(this->listing, now)}});
     for (const auto& [strand, forwarder] : this->forwarders) {
       strand->Post(
           [forwarder = forwarder, retired] { forwarder->Retire(retired); });
@@ -275,65 +276,6 @@
     return this->control.is_synchronised() && this->lists.Routes() != nullptr;
   }
 
-  HttpResponse AnswerAdmin(const HttpRequest& request) const {
-    HttpResponse response;
-    response.content_type = "text/plain; version=0.0.4";
-    if (request.path == this->settings.ready_path) {
-      const bool is_ready = !this->is_leaving() && this->knows_routes() &&
-                            this->listing.Summary().observed_at.has_value() &&
-                            !this->SomeRouteIsUnservable();
-      response.status = is_ready ? response.status : kStatusUnavailable;
-      response.body = is_ready ? "ready" : "not ready";
-    } else if (request.path == "/metrics") {
-      response.body = this->metrics.Render();
-    } else if (request.path == "/state") {
-      response.content_type = "application/json";
-      response.body = this->StateJson();
-    } else {
-      response.status = kStatusNotFound;
-      response.body = "no such resource";
-    }
-    return response;
-  }
-
-  // True if unreachable data centres leave some route with too few shards for
-  // its minimum coverage. The process then reports that it is not ready, so
-  // that callers are sent to another data centre. Logs each change.
-  bool SomeRouteIsUnservable() const {
-    const auto routes = this->lists.Routes();
-    const MonotonicTime now = this->clock.Now();
-    const bool has_unservable_route =
-        this->backends.Access([&](const BackendDirectory& directory) {
-          return directory.HasCutOffDataCentre(now) &&
-                 HasUnservableRoute(directory, now, routes->table());
-        });
-    if (this->had_unservable_route.exchange(has_unservable_route) !=
-        has_unservable_route) {
-      LogEvent(LogLevel::kWarning,
-               has_unservable_route ? "backends_lost" : "backends_regained",
-               {{"routes_version", routes->table().version.value()}});
-    }
-    return has_unservable_route;
-  }
-
-  // Returns the age of the listing in milliseconds, or -1 without a listing.
-  double ListingAgeMs() const {
-    const ListingSummary summary = this->listing.Summary();
-    return summary.observed_at
-               ? ToMilliseconds(this->clock.Now() - *summary.observed_at)
-               : -1.0;
-  }
-
-  std::string StateJson() const {
-    const auto routes = this->lists.Routes();
-    return fmt::format(
-        R"({{"routes_version":{},"listed_servers":{},"listing_age_ms":{:.0f},)"
-        R"("connections":{},"leaving":{}}})",
-        routes ? routes->table().version.value() : 0,
-        this->listing.Servers()->size(), this->ListingAgeMs(),
-        this->caller_listener->open_connections(), this->is_leaving());
-  }
-
   void OnSignal(int number) {
     if (this->is_leaving()) {
       return;
@@ -383,14 +325,14 @@
   // is destroyed.
   ListTable lists;
   ListingTable listing;
-  mutable BackendTable backends;
+  BackendTable backends;
   AggregatorTable aggregators;
   ForwardMetrics metrics;
   Lifecycle lifecycle;
   std::atomic<std::size_t> undrained_strands = 0;
-  mutable std::atomic<bool> had_unservable_route = false;
   WorkerPool pool;
   ControlClient control;
+  ForwardAdmin answers;
   std::vector<
       std::pair<std::shared_ptr<Strand>, std::shared_ptr<StrandForwarder>>>
       forwarders;
--- a/src/wire/json_split.cc
+++ b/src/wire/json_split.cc
@@ -136,60 +136,61 @@
       ParseError{"", scanner.offset(), std::move(what)});
 }
 
-}  // namespace
-
-Result<std::vector<JsonMember>> SplitJsonObject(std::string_view text) {
+// Reads the items between two brackets, which commas separate. `take_item`
+// reads one item from a scanner.
+template <class Item, class TakeItem>
+Result<std::vector<Item>> SplitItems(std::string_view text,
+                                     char open_bracket,
+                                     char close_bracket,
+                                     const TakeItem& take_item) {
   JsonScanner scanner(text);
-  std::vector<JsonMember> members;
-  if (!scanner.Skip('{')) {
-    return Expected(scanner, "a JSON object");
+  std::vector<Item> items;
+  if (!scanner.Skip(open_bracket)) {
+    return Expected(scanner, std::string("the bracket ") + open_bracket);
   }
-  bool is_closed = scanner.Skip('}');
+  bool is_closed = scanner.Skip(close_bracket);
   while (!is_closed) {
-    std::string_view name = scanner.TakeString();
-    if (name.empty() || !scanner.Skip(':')) {
-      return Expected(scanner, "the name of a member and a colon");
-    }
-    name.remove_prefix(1);
-    name.remove_suffix(1);
-    const std::string_view value = scanner.TakeValue();
-    if (value.empty()) {
-      return Expected(scanner, "a whole JSON value");
-    }
-    members.push_back({name, value});
-    is_closed = scanner.Skip('}');
+    BOOST_LEAF_AUTO(item, take_item(scanner));
+    items.push_back(item);
+    is_closed = scanner.Skip(close_bracket);
     if (!is_closed && !scanner.Skip(',')) {
-      return Expected(scanner, "a comma or the end of the object");
+      return Expected(scanner,
+                      std::string("a comma or the bracket ") + close_bracket);
     }
   }
   if (!scanner.IsAtEnd()) {
-    return Expected(scanner, "nothing after the JSON object");
+    return Expected(scanner, "nothing after the last bracket");
   }
-  return members;
+  return items;
 }
 
-Result<std::vector<std::string_view>> SplitJsonArray(std::string_view text) {
-  JsonScanner scanner(text);
-  std::vector<std::string_view> elements;
-  if (!scanner.Skip('[')) {
-    return Expected(scanner, "a JSON array");
-  }
-  bool is_closed = scanner.Skip(']');
-  while (!is_closed) {
-    const std::string_view value = scanner.TakeValue();
-    if (value.empty()) {
-      return Expected(scanner, "a whole JSON value");
-    }
-    elements.push_back(value);
-    is_closed = scanner.Skip(']');
-    if (!is_closed && !scanner.Skip(',')) {
-      return Expected(scanner, "a comma or the end of the array");
-    }
+Result<std::string_view> TakeElement(JsonScanner& scanner) {
+  const std::string_view value = scanner.TakeValue();
+  if (value.empty()) {
+    return Expected(scanner, "a whole JSON value");
   }
-  if (!scanner.IsAtEnd()) {
-    return Expected(scanner, "nothing after the JSON array");
+  return value;
+}
+
+Result<JsonMember> TakeMember(JsonScanner& scanner) {
+  std::string_view name = scanner.TakeString();
+  if (name.empty() || !scanner.Skip(':')) {
+    return Expected(scanner, "the name of a member and a colon");
   }
-  return elements;
+  name.remove_prefix(1);
+  name.remove_suffix(1);
+  BOOST_LEAF_AUTO(value, TakeElement(scanner));
+  return JsonMember{name, value};
+}
+
+}  // namespace
+
+Result<std::vector<JsonMember>> SplitJsonObject(std::string_view text) {
+  return SplitItems<JsonMember>(text, '{', '}', TakeMember);
+}
+
+Result<std::vector<std::string_view>> SplitJsonArray(std::string_view text) {
+  return SplitItems<std::string_view>(text, '[', ']', TakeElement);
 }
 
 }  // namespace marigold
--- a/tests/backend_link_test.cc
+++ b/tests/backend_link_test.cc
@@ -18,7 +18,7 @@
 
 #include "src/net/forward/backend_links.h"
 #include "tests/row_indices.h"
-#include "tools/tcp/tcp_listener.h"
+#include "tests/tcp_server.h"
 
 namespace marigold {
 
@@ -42,16 +42,11 @@
 class ScriptedServer {
  public:
   ScriptedServer(WorkerPool& pool, std::string reply_bytes, End reply_end)
-      : bytes(std::move(reply_bytes)), end(reply_end) {
-    auto listening = Capture<std::unique_ptr<TcpListener>>([&] {
-      return TcpListener::Listen(
-          pool, Address(), [this](const std::shared_ptr<TcpStream>& stream) {
-            this->Serve(stream);
-          });
-    });
-    this->listener =
-        std::move(std::get<std::unique_ptr<TcpListener>>(listening));
-  }
+      : bytes(std::move(reply_bytes)),
+        end(reply_end),
+        server(pool, Address(), [this](TcpStream& stream, std::string_view) {
+          this->Reply(stream);
+        }) {}
 
   // Replaces the scripted bytes.
   void SetBytes(std::string reply_bytes) {
@@ -60,21 +55,6 @@
   }
 
  private:
-  void Serve(const std::shared_ptr<TcpStream>& stream) {
-    {
-      const std::lock_guard lock(this->mutex);
-      this->streams.push_back(stream);
-    }
-    TcpStream::Handlers handlers;
-    handlers.on_bytes = [this, weak = std::weak_ptr(stream)](std::string_view) {
-      if (const auto open = weak.lock()) {
-        this->Reply(*open);
-      }
-    };
-    handlers.on_closed = [] {};
-    stream->Start(std::move(handlers));
-  }
-
   void Reply(TcpStream& stream) {
     {
       const std::lock_guard lock(this->mutex);
@@ -98,11 +78,10 @@
     }
   }
 
+  std::mutex mutex;
   std::string bytes;
   const End end;
-  std::mutex mutex;
-  std::vector<std::shared_ptr<TcpStream>> streams;
-  std::unique_ptr<TcpListener> listener;
+  TcpServer server;
 };
 
 const std::string kAnswer =
--- a/tests/backend_links_test.cc
+++ b/tests/backend_links_test.cc
@@ -16,7 +16,7 @@
 #include <vector>
 
 #include "tests/row_indices.h"
-#include "tools/tcp/tcp_listener.h"
+#include "tests/tcp_server.h"
 
 namespace marigold {
 
@@ -51,29 +51,14 @@
 // before the reply to the same request.
 class RepeatingServer {
  public:
-  explicit RepeatingServer(WorkerPool& pool) {
-    auto listening = Capture<std::unique_ptr<TcpListener>>([&] {
-      return TcpListener::Listen(
-          pool, Address(), [this](const std::shared_ptr<TcpStream>& stream) {
-            this->Serve(stream);
-          });
-    });
-    this->listener =
-        std::move(std::get<std::unique_ptr<TcpListener>>(listening));
-  }
+  explicit RepeatingServer(WorkerPool& pool)
+      : server(pool,
+               Address(),
+               [this](TcpStream& stream, std::string_view bytes) {
+                 stream.Write(this->Reply(&stream, RequestIdOf(bytes)));
+               }) {}
 
  private:
-  void Serve(const std::shared_ptr<TcpStream>& stream) {
-    const std::lock_guard lock(this->mutex);
-    this->streams.push_back(stream);
-    TcpStream::Handlers handlers;
-    handlers.on_bytes = [this, raw = stream.get()](std::string_view bytes) {
-      raw->Write(this->Reply(raw, RequestIdOf(bytes)));
-    };
-    handlers.on_closed = [] {};
-    stream->Start(std::move(handlers));
-  }
-
   std::string Reply(TcpStream* stream, const std::string& request) {
     const std::lock_guard lock(this->mutex);
     const auto [rejection, is_first] =
@@ -87,10 +72,9 @@
   }
 
   std::mutex mutex;
-  std::vector<std::shared_ptr<TcpStream>> streams;
   // By request: the connection that carried its rejection.
   std::unordered_map<std::string, TcpStream*> rejecting_streams;
-  std::unique_ptr<TcpListener> listener;
+  TcpServer server;
 };
 
 // Sends the request and returns the status of the reply, or 0 if there is none.
--- a/tests/http_client_test.cc
+++ b/tests/http_client_test.cc
@@ -15,7 +15,7 @@
 
 #include "src/net/http/http_server.h"
 #include "tests/row_indices.h"
-#include "tools/tcp/tcp_listener.h"
+#include "tests/tcp_server.h"
 
 namespace marigold {
 
@@ -106,21 +106,20 @@
   return done.get_future().get();
 }
 
-// A server that sends `response` on each connection once it has got a request.
-// It then closes the connection if `closes` is true.
+// A server that answers each request with scripted bytes. It then closes the
+// connection if `does_close` is true.
 class ScriptedServer {
  public:
   ScriptedServer(WorkerPool& workers, const Endpoint& endpoint, bool does_close)
-      : closes(does_close) {
-    auto listening = Capture<std::unique_ptr<TcpListener>>([&] {
-      return TcpListener::Listen(
-          workers, endpoint, [this](const std::shared_ptr<TcpStream>& stream) {
-            this->Serve(stream);
-          });
-    });
-    this->listener =
-        std::move(std::get<std::unique_ptr<TcpListener>>(listening));
-  }
+      : server(workers,
+               endpoint,
+               [this, does_close](TcpStream& stream, std::string_view) {
+                 const std::lock_guard lock(this->mutex);
+                 stream.Write(this->response);
+                 if (does_close) {
+                   stream.Close();
+                 }
+               }) {}
 
   void SetResponse(std::string bytes) {
     const std::lock_guard lock(this->mutex);
@@ -128,26 +127,9 @@
   }
 
  private:
-  void Serve(const std::shared_ptr<TcpStream>& stream) {
-    TcpStream::Handlers handlers;
-    handlers.on_bytes = [this, raw = stream.get()](std::string_view) {
-      const std::lock_guard lock(this->mutex);
-      raw->Write(this->response);
-      if (this->closes) {
-        raw->Close();
-      }
-    };
-    handlers.on_closed = [] {};
-    const std::lock_guard lock(this->mutex);
-    this->streams.push_back(stream);
-    stream->Start(std::move(handlers));
-  }
-
-  const bool closes;
   std::mutex mutex;
   std::string response;
-  std::vector<std::shared_ptr<TcpStream>> streams;
-  std::unique_ptr<TcpListener> listener;
+  TcpServer server;
 };
 
 }  // namespace
