Destroy the peers of control_client_test before the pool

Cause: the scripted peers were declared before the worker pool and so destroyed after it. Their servers then post the end of listening to an I/O context that is gone (the review's AddressSanitizer run names the acceptor). The fault is the test's: in the programs, servers are declared after the pool.

Change: the pool is declared first and stopped before the objects that its threads use are destroyed, as in the cases that never failed. No case, bound or assertion has changed.

--- a/tests/control_client_test.cc
+++ b/tests/control_client_test.cc
@@ -303,8 +303,9 @@
 ParameterizedTest(std::size_t* index, ControlClient, SubmitReportsOutcome) {
   const SubmitRow& row = kSubmitRows[*index];
   ListTable table;
-  std::unique_ptr<ScriptedPeer> peers[2];
+  ListingTable listing;
   WorkerPool pool(2);
+  std::unique_ptr<ScriptedPeer> peers[2];
   const std::optional<SubmitBehaviour> submit_behaviours[] = {
       row.first_control, row.second_control};
   for (int i = 0; i < 2; ++i) {
@@ -314,12 +315,12 @@
       peers[i]->leader = Address(2);
     }
   }
-  ListingTable listing;
   ControlClient client(pool, table, listing, TestClientSettings());
   std::promise<SubmitOutcome> outcome;
   client.Submit(ClaimAction(), std::chrono::milliseconds(1500),
                 [&](SubmitOutcome result) { outcome.set_value(result); });
   const std::string actual = ToText(outcome.get_future().get());
+  pool.Stop();
   cr_assert_eq(actual, std::string(row.expected_outcome),
                "%s: expected %s, actual %s", row.scenario, row.expected_outcome,
                actual.c_str());
@@ -329,12 +330,12 @@
 // several times, from control VMs of other data centres too.
 Test(ControlClient, GetsTheListsOnceIfTheStreamBringsThem) {
   ListTable table;
+  ListingTable listing;
   WorkerPool pool(2);
   ScriptedPeer first(pool, Address(1));
   ScriptedPeer second(pool, Address(2));
   first.lists = ListsAt(5);
   second.lists = ListsAt(5);
-  ListingTable listing;
   ControlClient client(pool, table, listing, TestClientSettings());
   cr_assert(std::holds_alternative<bool>(Capture<bool>([&]() -> Result<bool> {
     BOOST_LEAF_CHECK(client.Start());
@@ -350,6 +351,7 @@
 // leader has confirmed the lists. The settings do not name the leader.
 Test(ControlClient, LeaderReplyMakesOtherRepliesUnnecessary) {
   ListTable table;
+  ListingTable listing;
   WorkerPool pool(2);
   ScriptedPeer follower(pool, Address(1));
   ScriptedPeer silent_control(pool, Address(2));
@@ -358,7 +360,6 @@
   follower.known_leader = Address(4);
   leader.lists = ListsAt(9);
   leader.leads = true;
-  ListingTable listing;
   ControlClientSettings settings = TestClientSettings();
   settings.start_without_quorum_after = kWaitLimit;
   ControlClient client(pool, table, listing, settings);
@@ -383,8 +384,9 @@
 ParameterizedTest(std::size_t* index, ControlClient, StartsWithTheNewestLists) {
   const StartRow& row = kStartRows[*index];
   ListTable table;
-  std::unique_ptr<ScriptedPeer> peers[3];
+  ListingTable listing;
   WorkerPool pool(2);
+  std::unique_ptr<ScriptedPeer> peers[3];
   const std::uint64_t list_indexes[] = {row.first_control, row.second_control,
                                         row.other_entry_vm};
   for (int i = 0; i < 3; ++i) {
@@ -397,7 +399,6 @@
   }
   ControlClientSettings settings = TestClientSettings();
   settings.peers = {Address(3)};
-  ListingTable listing;
   ControlClient client(pool, table, listing, settings);
   cr_assert(std::holds_alternative<bool>(Capture<bool>([&]() -> Result<bool> {
     BOOST_LEAF_CHECK(client.Start());
@@ -406,6 +407,7 @@
   const bool synchronised =
       Await(pool, [&] { return client.is_synchronised(); });
   const std::uint64_t actual = synchronised ? table.index().value() : 0;
+  pool.Stop();
   cr_assert_eq(actual, row.expected_index, "%s: expected %lu, actual %lu",
                row.scenario, row.expected_index, actual);
 }
@@ -414,12 +416,13 @@
 // request for lists has failed and the wait for a quorum has ended.
 Test(ControlClient, IsNotSynchronisedWithoutLists) {
   ListTable table;
-  WorkerPool pool(2);
   ListingTable listing;
+  WorkerPool pool(2);
   ControlClient client(pool, table, listing, TestClientSettings());
   client.Start();
   const bool synchronised = Await(
       pool, [&] { return client.is_synchronised(); }, std::chrono::seconds(2));
+  pool.Stop();
   cr_assert(!synchronised, "expected not synchronised, actual synchronised");
 }
 
@@ -427,19 +430,20 @@
 // stopped sending. The entry VM would then miss all further edits.
 Test(ControlClient, SilentStreamIsReplaced) {
   ListTable table;
-  std::unique_ptr<ScriptedPeer> peers[2];
+  ListingTable listing;
   WorkerPool pool(2);
+  std::unique_ptr<ScriptedPeer> peers[2];
   for (int i = 0; i < 2; ++i) {
     peers[i] = std::make_unique<ScriptedPeer>(pool, Address(i + 1));
     peers[i]->lists = ListsAt(5);
     peers[i]->max_heartbeats = 2;
   }
-  ListingTable listing;
   ControlClient client(pool, table, listing, TestClientSettings());
   client.Start();
   const bool replaced = Await(pool, [&] {
     return peers[0]->subscriber_count > 0 && peers[1]->subscriber_count > 0;
   });
+  pool.Stop();
   cr_assert(replaced, "expected a stream to each control VM, actual %d and %d",
             peers[0]->subscriber_count.load(),
             peers[1]->subscriber_count.load());
@@ -449,16 +453,19 @@
 // Its lists are outdated, while another control VM has newer ones.
 Test(ControlClient, ControlVmWithoutQuorumIsReplaced) {
   ListTable table;
-  std::unique_ptr<ScriptedPeer> peers[2];
+  ListingTable listing;
   WorkerPool pool(2);
+  std::unique_ptr<ScriptedPeer> peers[2];
   for (int i = 0; i < 2; ++i) {
     peers[i] = std::make_unique<ScriptedPeer>(pool, Address(i + 1));
     peers[i]->has_quorum = i == 1;
   }
-  ListingTable listing;
   ControlClient client(pool, table, listing, TestClientSettings());
   client.Start();
-  cr_assert(Await(pool, [&] { return peers[1]->subscriber_count > 0; }),
+  const bool is_replaced =
+      Await(pool, [&] { return peers[1]->subscriber_count > 0; });
+  pool.Stop();
+  cr_assert(is_replaced,
             "expected a stream to the VM with a quorum, actual none");
 }
 
@@ -466,10 +473,10 @@
 // control VM is reachable, an entry VM that starts would then have no lists.
 Test(ControlClient, EntryVmServesListsToAnother) {
   ListTable tables[2];
+  ListingTable listings[2];
   WorkerPool pool(2);
   ControlClientSettings settings = TestClientSettings();
   settings.listen = Address(5);
-  ListingTable listings[2];
   ControlClient serving(pool, tables[0], listings[0], settings);
   serving.Start();
   tables[0].Apply(MonotonicTime(), ListsAt(7));
@@ -477,8 +484,11 @@
   settings.peers = {Address(5)};
   ControlClient starting(pool, tables[1], listings[1], settings);
   starting.Start();
-  cr_assert(Await(pool, [&] { return tables[1].index() == LogIndex(7); }),
-            "expected index 7, actual %lu", tables[1].index().value());
+  const bool is_served =
+      Await(pool, [&] { return tables[1].index() == LogIndex(7); });
+  pool.Stop();
+  cr_assert(is_served, "expected index 7, actual %lu",
+            tables[1].index().value());
 }
 
 }  // namespace marigold
