Let the subscriber hub go before the worker pool

Cause: the listing table, which is declared before the pool because the pool's threads use it, held the hub in its change handler, and with it a timer of the pool.

Change: the handler holds a weak pointer.

--- a/src/programs/control_process.cc
+++ b/src/programs/control_process.cc
@@ -30,7 +30,12 @@
 
 Result<void> ControlProcess::Open(HttpHandler handler) {
   SetLogDescriptor(STDOUT_FILENO);
-  this->listing.OnChanged([hub = this->hub] { hub->NotifyListingChanged(); });
+  // The table outlives the worker pool, which the hub must not.
+  this->listing.OnChanged([weak = std::weak_ptr(this->hub)] {
+    if (const auto subscribers = weak.lock()) {
+      subscribers->NotifyListingChanged();
+    }
+  });
   BOOST_LEAF_ASSIGN(
       this->driver,
       ControlDriver::Open(this->pool, this->table, this->settings.driver,
