--- a/src/core/lock_rank.h
+++ b/src/core/lock_rank.h
@@ -13,6 +13,7 @@
   kListTable = 40,
   kAdmission = 50,
   kShares = 60,
+  kOpenRequests = 65,
   kSearch = 70,
   kServerTable = 80,
   kAggregators = 85,
--- a/src/net/callers/caller_api.h
+++ b/src/net/callers/caller_api.h
@@ -14,6 +14,10 @@
 
   void Handle(const HttpRequest& request, HttpResponder respond);
 
+  // Answers all requests of callers that have no answer yet, because the
+  // process stops.
+  void AnswerOpenRequests() { this->request_handler.AnswerOpenRequests(); }
+
  private:
   using Handler = void (CallerApi::*)(const HttpRequest&, HttpResponder);
 
--- a/src/net/callers/caller_request_handler.cc
+++ b/src/net/callers/caller_request_handler.cc
@@ -100,9 +100,37 @@
   exchange->arrived_at = this->components.clock.Now();
   exchange->respond = std::move(respond);
   exchange->work_guard = this->components.lifecycle.TrackRequest();
+  this->AddOpenExchange(exchange);
   return exchange;
 }
 
+void CallerRequestHandler::AddOpenExchange(const ExchangePtr& exchange) {
+  const RankedLock lock(this->mutex);
+  if (this->open_exchanges.size() >= this->next_cleanup_size) {
+    std::erase_if(this->open_exchanges,
+                  [](const auto& open) { return open.expired(); });
+    this->next_cleanup_size =
+        std::max(2 * this->open_exchanges.size(), kMinCleanupSize);
+  }
+  this->open_exchanges.push_back(exchange);
+}
+
+void CallerRequestHandler::AnswerOpenRequests() {
+  std::vector<std::weak_ptr<Exchange>> unanswered;
+  {
+    const RankedLock lock(this->mutex);
+    unanswered.swap(this->open_exchanges);
+  }
+  for (const auto& open : unanswered) {
+    if (const ExchangePtr exchange = open.lock()) {
+      this->Answer(exchange, Refusal{Execution::kMayHaveRun,
+                                     Reason::kDeadlineExceeded,
+                                     "the process stops",
+                                     {}});
+    }
+  }
+}
+
 template <class Request>
 void CallerRequestHandler::CopyIdentifiers(Exchange& exchange,
                                            const Request& request) {
@@ -184,6 +212,9 @@
 
 void CallerRequestHandler::Answer(const ExchangePtr& exchange,
                                   const Refusal& refusal) {
+  if (!exchange->TakeAnswer()) {
+    return;
+  }
   this->components.metrics.OnRefusal(exchange->kind, refusal,
                                      this->TimeSince(exchange->arrived_at));
   this->LogRequest(*exchange, ToString(refusal.execution),
@@ -198,6 +229,9 @@
 
 void CallerRequestHandler::Answer(const ExchangePtr& exchange,
                                   const SearchAnswer& answer) {
+  if (!exchange->TakeAnswer()) {
+    return;
+  }
   const Fraction coverage = Coverage(answer);
   this->components.metrics.OnAnswer(exchange->kind,
                                     this->TimeSince(exchange->arrived_at));
@@ -215,6 +249,9 @@
 
 void CallerRequestHandler::Answer(const ExchangePtr& exchange,
                                   const ActionAnswer& answer) {
+  if (!exchange->TakeAnswer()) {
+    return;
+  }
   this->components.metrics.OnAnswer(exchange->kind,
                                     this->TimeSince(exchange->arrived_at));
   this->LogRequest(*exchange, ToString(Execution::kRan), "ok", Fraction(1));
--- a/src/net/callers/caller_request_handler.h
+++ b/src/net/callers/caller_request_handler.h
@@ -2,8 +2,11 @@
 #define SRC_NET_CALLERS_CALLER_REQUEST_HANDLER_H_
 
 #include <atomic>
+#include <cstddef>
 #include <memory>
+#include <vector>
 
+#include "src/core/ranked_mutex.h"
 #include "src/net/callers/entry_components.h"
 #include "src/net/http/http_server.h"
 #include "src/policy/action_types.h"
@@ -21,6 +24,10 @@
   void HandleSearch(const HttpRequest& http, HttpResponder respond);
   void HandleAction(const HttpRequest& http, HttpResponder respond);
 
+  // Answers all requests that have no answer yet as possibly run, because the
+  // process stops before their deadlines. Their outcomes are then dropped.
+  void AnswerOpenRequests();
+
  private:
   // The state of one request from its arrival to its answer.
   struct Exchange {
@@ -32,7 +39,11 @@
     Exchange(const Exchange&) = delete;
     Exchange& operator=(const Exchange&) = delete;
 
+    // Returns true for the first call. Only its caller may answer.
+    bool TakeAnswer() { return !this->is_answered.exchange(true); }
+
     RequestKind kind = RequestKind::kSearch;
+    std::atomic<bool> is_answered = false;
     MonotonicTime arrived_at;
     HttpResponder respond;
     Lifecycle::WorkGuard work_guard;
@@ -42,7 +53,10 @@
   };
   using ExchangePtr = std::shared_ptr<Exchange>;
 
+  static constexpr std::size_t kMinCleanupSize = 64;
+
   ExchangePtr StartExchange(RequestKind kind, HttpResponder respond);
+  void AddOpenExchange(const ExchangePtr& exchange);
   template <class Request>
   void CopyIdentifiers(Exchange& exchange, const Request& request);
   // Refuses a request that did not decode, and every request while the process
@@ -78,6 +92,11 @@
 
   EntryComponents components;
   std::uint64_t seed;
+  RankedMutex<LockRank::kOpenRequests> mutex;
+  // The exchanges in progress, and some that have ended since the last
+  // clean-up.
+  std::vector<std::weak_ptr<Exchange>> open_exchanges;
+  std::size_t next_cleanup_size = kMinCleanupSize;
   std::atomic<std::uint64_t> run_count = 0;
   // Requests that were candidates for the access log.
   std::atomic<std::uint64_t> loggable_requests = 0;
--- a/src/programs/entry_process.cc
+++ b/src/programs/entry_process.cc
@@ -18,6 +18,8 @@
 // Requests that arrive after the first signal must end this long before the
 // stop timeout.
 constexpr Duration kStopMargin = std::chrono::milliseconds(500);
+// Requests without an answer are answered this long before the stop timeout.
+constexpr Duration kLastAnswerMargin = std::chrono::milliseconds(250);
 
 std::unique_ptr<ControlClient> MakeControlClient(const EntrySettings& settings,
                                                  WorkerPool& pool,
@@ -152,6 +154,9 @@
   this->server->DisableKeepAlive();
   this->pool.PostAfter(this->settings.grace_period,
                        [this] { this->BeginDrain(); });
+  this->pool.PostAfter(
+      stop_timeout - std::min(kLastAnswerMargin, stop_timeout / 4),
+      [this] { this->api.AnswerOpenRequests(); });
   this->pool.PostAfter(stop_timeout, [this] { this->FinishAtStopTimeout(); });
 }
 
--- a/tests/process/entry_shutdown.sh
+++ b/tests/process/entry_shutdown.sh
@@ -80,6 +80,25 @@
 status=$?
 [ $status -eq 0 ] || fail "expected exit 0 after the answer, actual $status"
 
+# A request in flight that has more time left than the process is answered before
+# the process exits.
+start_entry five 127.0.0.51:18305 --grace-ms=0 --stop-bound-ms=1500
+five=$entry
+await has_health 127.0.0.51:18305 200
+await serves 127.0.0.51:18305
+curl -s -o /dev/null -d '{"change":"service_time","ms":4000}' "http://$platform/v1/admin"
+search 127.0.0.51:18305 >"$work/code" &
+slow=$!
+await sh -c "curl -s http://127.0.0.51:18305/state | grep -q '\"requests_in_flight\":1'"
+kill -TERM "$five"
+wait "$slow"
+[ "$(cat "$work/code")" = 504 ] || fail "expected 504 at the stop bound, actual $(cat "$work/code")"
+grep -q may_have_run "$work/answer" || fail "expected may_have_run, actual $(cat "$work/answer")"
+wait "$five"
+status=$?
+[ $status -eq 0 ] || fail "expected exit 0 after the answer, actual $status"
+curl -s -o /dev/null -d '{"change":"service_time","ms":1000}' "http://$platform/v1/admin"
+
 # The second signal ends the process at once with exit code 1.
 start_entry four 127.0.0.51:18304 --grace-ms=20000
 four=$entry
