Tell a failed connection from a full queue

Cause: Send returns false for a full queue and for a connection that has ended. If a connect is refused before the command is queued, and the command's deadline passes before the next attempt, the command was refused as overloaded.

Change: the sender asks the connection whether it has ended.

--- a/src/net/control/command_sender.cc
+++ b/src/net/control/command_sender.cc
@@ -16,6 +16,9 @@
 
 constexpr Duration kRetryDelay = std::chrono::milliseconds(50);
 
+constexpr const char* kConnectionFailedDetail =
+    "the connection to the control VM failed";
+
 // Redirects that one command follows without a delay. Control VMs can redirect
 // to each other while a leader is being elected, so later redirects wait for
 // `kRetryDelay`.
@@ -82,8 +85,12 @@
   Channel& channel = this->ChannelTo(target);
   if (!channel.connection->Send(
           EncodeControlMessage(marigold::Submit{call, pending.command}))) {
-    pending.last_failure_reason = Reason::kOverloaded;
-    pending.last_failure_detail = "the queue to the control VM is full";
+    const bool is_closed = channel.connection->is_closed();
+    pending.last_failure_reason =
+        is_closed ? Reason::kNoQuorum : Reason::kOverloaded;
+    pending.last_failure_detail = is_closed
+                                      ? kConnectionFailedDetail
+                                      : "the queue to the control VM is full";
     this->Retry(call, kRetryDelay);
     return;
   }
@@ -230,7 +237,7 @@
       // Nothing was written to a connection that never opened.
       pending.may_have_run = pending.may_have_run || was_open;
       pending.last_failure_reason = Reason::kNoQuorum;
-      pending.last_failure_detail = "the connection to the control VM failed";
+      pending.last_failure_detail = kConnectionFailedDetail;
       this->Retry(call, was_open ? Duration::zero() : kRetryDelay);
     }
   }
--- a/src/net/control/framed_connection.h
+++ b/src/net/control/framed_connection.h
@@ -90,6 +90,10 @@
   // closed, its queue is full or the body is longer than `kMaxFrameBodyBytes`.
   bool Send(std::string_view body);
 
+  // True once the connection has failed, ended or been closed here. `on_closed`
+  // may not have run yet.
+  bool is_closed() const { return this->is_closing; }
+
   // Closes the connection. Frames that have not been sent are dropped.
   void Close();
 
--- a/tests/control_client_test.cc
+++ b/tests/control_client_test.cc
@@ -326,6 +326,30 @@
                actual.c_str());
 }
 
+// Guards against a refusal as overloaded, which callers understand as a full
+// queue, if the connection to the control VM was refused before the command was
+// queued.
+Test(ControlClient, RefusedConnectionIsNoFullQueue) {
+  constexpr int kCommands = 2'000;
+  ListTable table;
+  ListingTable listing;
+  WorkerPool pool(2);
+  ControlClient client(pool, table, listing, TestClientSettings());
+  std::atomic<int> overloaded = 0;
+  for (int i = 0; i < kCommands; ++i) {
+    std::promise<void> done;
+    client.Submit(ClaimAction(), std::chrono::microseconds(500),
+                  [&](const SubmitOutcome& outcome) {
+                    overloaded += ToText(outcome) == "did_not_run overloaded";
+                    done.set_value();
+                  });
+    done.get_future().get();
+  }
+  pool.Stop();
+  cr_assert_eq(overloaded.load(), 0, "expected 0 of %d, actual %d", kCommands,
+               overloaded.load());
+}
+
 // Guards against a start of all VMs at which each of them gets the lists
 // several times, from control VMs of other data centres too.
 Test(ControlClient, GetsTheListsOnceIfTheStreamBringsThem) {
