--- a/src/replication/detail/leadership_members.cc
+++ b/src/replication/detail/leadership_members.cc
@@ -126,6 +126,7 @@
   }
   std::sort(silent.begin(), silent.end());
   std::vector<DiskId> disks;
+  disks.reserve(silent.size());
   for (auto& [last_contact, disk] : silent) {
     disks.push_back(std::move(disk));
   }
