Compute the retry delay only for requests that did not run

Change: EncodeFailure calls a function for the delay, in that case only. The answers are the same.

The cost that is saved was not measured.

--- a/src/net/fan_out/grouped_call.h
+++ b/src/net/fan_out/grouped_call.h
@@ -209,17 +209,22 @@
                         this->search.parts().answered_count(),
                         this->search.send_count(),
                         this->Now() - plan.deadlines.started_at};
-    FinishCall(
-        this->context.metrics, this->caller, this->call_log, summary, state,
-        [this, state](bool closes_connection) {
-          return state == ForwardState::kAnswered
-                     ? this->EncodeMergedAnswer(closes_connection)
-                     : EncodeFailure<MessageCodec>(
-                           state,
-                           CurrentRetryDelay(this->context,
-                                             this->search.request_plan()),
-                           closes_connection);
-        });
+    FinishCall(this->context.metrics, this->caller, this->call_log, summary,
+               state, [this, state](bool closes_connection) {
+                 return state == ForwardState::kAnswered
+                            ? this->EncodeMergedAnswer(closes_connection)
+                            : this->EncodeFailedAnswer(state,
+                                                       closes_connection);
+               });
+  }
+
+  std::string EncodeFailedAnswer(ForwardState state, bool closes_connection) {
+    return EncodeFailure<MessageCodec>(
+        state,
+        [this] {
+          return CurrentRetryDelay(this->context, this->search.request_plan());
+        },
+        closes_connection);
   }
 
   std::string EncodeMergedAnswer(bool closes_connection) {
--- a/src/net/forward/call_end.h
+++ b/src/net/forward/call_end.h
@@ -41,14 +41,17 @@
     const std::function<std::string(bool closes_connection)>& encode);
 
 // Encodes the answer to a request that ended without one from a server.
-// `retry_delay` is how long the caller should wait if the request did not run.
-template <ForwardMessageCodec MessageCodec>
+// `retry_delay` is called only if the request did not run, and returns how long
+// the caller should wait. It looks at all targets of the request, which is too
+// expensive for each failure of a fan-out.
+template <ForwardMessageCodec MessageCodec, class RetryDelayFunction>
 std::string EncodeFailure(ForwardState state,
-                          Duration retry_delay,
+                          const RetryDelayFunction& retry_delay,
                           bool closes_connection) {
   if (state == ForwardState::kNotRun) {
     return MessageCodec::WriteLocalAnswer(
-        {kStatusUnavailable, "no backend server took the request", retry_delay},
+        {kStatusUnavailable, "no backend server took the request",
+         retry_delay()},
         closes_connection);
   }
   if (state == ForwardState::kTimedOut) {
--- a/src/net/forward/forwarded_call.h
+++ b/src/net/forward/forwarded_call.h
@@ -92,7 +92,8 @@
       return MessageCodec::WriteReply(*error_reply, closes_connection);
     }
     return EncodeFailure<MessageCodec>(
-        state, CurrentRetryDelay(this->context, this->plan), closes_connection);
+        state, [this] { return CurrentRetryDelay(this->context, this->plan); },
+        closes_connection);
   }
 
   std::string EncodeMergedAnswer(bool closes_connection) {
