Give a silent control VM 0.5 s and forget the ones that left the group

Change: an attempt fails after 0.5 s without a first frame (1.5 s if the VM failed lately, so that a slow group can be followed). Heartbeats say which members vote; others, among them replaced ones, are tried after them. Endpoints that are in neither the settings nor the group are forgotten.

--- a/src/net/control/framed_connection.cc
+++ b/src/net/control/framed_connection.cc
@@ -180,6 +180,7 @@
       return true;
     }
     this->last_frame_at = this->clock.Now();
+    this->has_received_frame = true;
     this->handlers.on_body(std::move(**body));
   }
   return true;
@@ -220,9 +221,10 @@
 // deadlines, which may have moved in the meantime.
 void FramedConnection::ArmTimeoutTimer() {
   Duration wait = this->limits.write_timeout;
-  if (this->limits.silence_timeout > Duration::zero()) {
+  const Duration silence_timeout = this->SilenceTimeout();
+  if (silence_timeout > Duration::zero()) {
     const Duration since_last_frame = this->clock.Now() - this->last_frame_at;
-    wait = std::min(wait, this->limits.silence_timeout - since_last_frame);
+    wait = std::min(wait, silence_timeout - since_last_frame);
   }
   this->timer.expires_after(std::max(wait, Duration::zero()));
   this->timer.async_wait(
@@ -236,8 +238,9 @@
 
 void FramedConnection::CheckTimeouts() {
   const MonotonicTime now = this->clock.Now();
-  if (this->limits.silence_timeout > Duration::zero() &&
-      now - this->last_frame_at >= this->limits.silence_timeout) {
+  const Duration silence_timeout = this->SilenceTimeout();
+  if (silence_timeout > Duration::zero() &&
+      now - this->last_frame_at >= silence_timeout) {
     this->End(CloseReason::kSilent);
     return;
   }
@@ -249,6 +252,13 @@
   this->ArmTimeoutTimer();
 }
 
+Duration FramedConnection::SilenceTimeout() const {
+  return !this->has_received_frame &&
+                 this->limits.first_frame_timeout > Duration::zero()
+             ? this->limits.first_frame_timeout
+             : this->limits.silence_timeout;
+}
+
 void FramedConnection::End(CloseReason reason) {
   if (this->has_ended) {
     return;
--- a/src/net/control/framed_connection.h
+++ b/src/net/control/framed_connection.h
@@ -45,6 +45,9 @@
   // A connection that receives no complete frame for this long is closed. Zero
   // turns this off.
   Duration silence_timeout = Duration::zero();
+  // Like `silence_timeout`, for the time until the first frame. Zero means that
+  // `silence_timeout` applies from the start.
+  Duration first_frame_timeout = Duration::zero();
   Duration write_timeout = std::chrono::seconds(2);
   // Maximum number of bytes that are queued or being written.
   std::size_t send_queue_bytes = 16 * 1024 * 1024;
@@ -110,6 +113,8 @@
   void OnWritten(const boost::system::error_code& error);
   void ArmTimeoutTimer();
   void CheckTimeouts();
+  // The silence timeout that applies now. Zero turns it off.
+  Duration SilenceTimeout() const;
   void End(CloseReason reason);
 
   // Used only on the socket's strand.
@@ -121,6 +126,7 @@
   std::vector<char> read_buffer;
   std::string write_buffer;
   MonotonicTime last_frame_at;
+  bool has_received_frame = false;
   MonotonicTime write_began_at;
   bool is_open = false;
   bool has_ended = false;
--- a/src/net/control/list_stream.cc
+++ b/src/net/control/list_stream.cc
@@ -1,7 +1,9 @@
 #include "src/net/control/list_stream.h"
 
+#include <algorithm>
 #include <utility>
 #include <variant>
+#include <vector>
 
 #include "src/core/log.h"
 #include "src/core/random.h"
@@ -51,15 +53,17 @@
       attempt.at - now, [weak = this->weak_from_this(), attempt] {
         const auto self = weak.lock();
         if (self && !self->is_stopped && !self->connection) {
-          self->Connect(attempt.endpoint);
+          self->Connect(attempt);
         }
       });
 }
 
-void ListStream::Connect(const Endpoint& endpoint) {
-  this->current_control = endpoint;
+void ListStream::Connect(const ControlChoice::Attempt& attempt) {
+  this->current_control = attempt.endpoint;
   FramedLimits limits;
   limits.silence_timeout = this->settings.silence_timeout;
+  limits.first_frame_timeout =
+      std::min(attempt.reply_timeout, this->settings.silence_timeout);
   limits.connect_timeout = kConnectTimeout;
   const auto new_connection = FramedConnection::Create(this->pool, limits);
   const std::weak_ptr<FramedConnection> weak_connection = new_connection;
@@ -85,7 +89,7 @@
   };
   this->Subscribe(this->table.index());
   this->Announce();
-  new_connection->Connect(endpoint, std::move(handlers));
+  new_connection->Connect(attempt.endpoint, std::move(handlers));
 }
 
 void ListStream::OnBody(const ConnectionPtr& from, const std::string& body) {
@@ -167,10 +171,13 @@
 
 void ListStream::OnHeartbeat(const StreamHeartbeat& heartbeat) {
   const MonotonicTime now = this->clock.Now();
+  std::vector<ListedControl> listed;
   for (const ControlVmLocation& control : heartbeat.controls) {
-    this->choice.AddEndpoint(control.endpoint,
-                             control.data_centre == this->settings.data_centre);
+    listed.push_back({control.endpoint,
+                      control.data_centre == this->settings.data_centre,
+                      control.is_voter});
   }
+  this->choice.OnListed(listed);
   if (heartbeat.listing_age) {
     this->listing.Confirm(heartbeat.listing_hash, now - *heartbeat.listing_age);
   }
--- a/src/net/control/list_stream.h
+++ b/src/net/control/list_stream.h
@@ -64,7 +64,7 @@
   using ConnectionPtr = std::shared_ptr<FramedConnection>;
 
   void ScheduleConnect();
-  void Connect(const Endpoint& endpoint);
+  void Connect(const ControlChoice::Attempt& attempt);
   void OnBody(const ConnectionPtr& from, const std::string& body);
   void OnUpdate(const ListUpdate& update);
   void OnListing(ListingUpdate update);
--- a/src/net/control/subscriber_hub.cc
+++ b/src/net/control/subscriber_hub.cc
@@ -166,7 +166,8 @@
       heartbeat.listing_age = this->clock.Now() - *listing_summary.observed_at;
     }
     for (const Member& member : status.membership.members) {
-      heartbeat.controls.push_back({member.address, member.data_centre});
+      heartbeat.controls.push_back({member.address, member.data_centre,
+                                    member.role == MemberRole::kVoter});
     }
     const RankedLock lock(this->mutex);
     const std::size_t share_count =
--- a/src/policy/control_choice.cc
+++ b/src/policy/control_choice.cc
@@ -11,6 +11,12 @@
 constexpr Duration kMaxBackoff = std::chrono::seconds(1);
 constexpr std::uint32_t kMaxBackoffDoublings = 5;
 
+// A control VM that works sends a heartbeat at once. One that is frozen accepts
+// the connection and is silent, so the first attempt is short. Further ones are
+// longer, so that a group that is merely slow can be followed.
+constexpr Duration kReplyTimeout = std::chrono::milliseconds(500);
+constexpr Duration kReplyTimeoutAfterFailure = std::chrono::milliseconds(1500);
+
 // The time until a control VM without a quorum is tried again.
 constexpr Duration kNoQuorumBackoff = std::chrono::seconds(2);
 
@@ -25,8 +31,10 @@
                              std::uint64_t seed)
     : random(seed) {
   for (Endpoint& endpoint : endpoints) {
-    this->candidates.push_back(
-        {std::move(endpoint), 0, false, MonotonicTime::min()});
+    Candidate candidate;
+    candidate.endpoint = std::move(endpoint);
+    candidate.is_in_settings = true;
+    this->candidates.push_back(std::move(candidate));
   }
   for (std::size_t i = this->candidates.size(); i > 1; --i) {
     std::swap(this->candidates[i - 1],
@@ -67,11 +75,39 @@
   }
 }
 
-void ControlChoice::AddEndpoint(const Endpoint& endpoint, bool is_local) {
-  if (this->FindCandidate(endpoint) == nullptr) {
-    this->candidates.push_back({endpoint, 0, false, MonotonicTime::min()});
+void ControlChoice::OnListed(const std::vector<ListedControl>& listed) {
+  if (listed.empty()) {
+    return;
+  }
+  const Endpoint last_attempt =
+      this->candidates[this->last_attempt_index].endpoint;
+  std::erase_if(this->candidates, [&](const Candidate& candidate) {
+    return !candidate.is_in_settings &&
+           std::none_of(listed.begin(), listed.end(),
+                        [&](const ListedControl& control) {
+                          return control.endpoint == candidate.endpoint;
+                        });
+  });
+  for (Candidate& candidate : this->candidates) {
+    // A VM of the settings that has left the group is tried after the others.
+    candidate.is_local = false;
+    candidate.is_voter = false;
   }
-  this->FindCandidate(endpoint)->is_local = is_local;
+  for (const ListedControl& control : listed) {
+    Candidate* candidate = this->FindCandidate(control.endpoint);
+    if (candidate == nullptr) {
+      candidate = &this->candidates.emplace_back();
+      candidate->endpoint = control.endpoint;
+    }
+    candidate->is_local = control.is_local;
+    candidate->is_voter = control.is_voter;
+  }
+  // The candidates have moved. Attempts go on after the last one.
+  const Candidate* last = this->FindCandidate(last_attempt);
+  this->last_attempt_index =
+      last == nullptr
+          ? 0
+          : static_cast<std::size_t>(last - this->candidates.data());
 }
 
 ControlChoice::Attempt ControlChoice::NextAttempt(MonotonicTime now) {
@@ -85,7 +121,10 @@
   }
   this->last_attempt_index = best_index;
   const Candidate& chosen = this->candidates[best_index];
-  return {chosen.endpoint, std::max(now, chosen.not_before)};
+  const MonotonicTime at = std::max(now, chosen.not_before);
+  return {chosen.endpoint, at,
+          RecentFailures(at, chosen) == 0 ? kReplyTimeout
+                                          : kReplyTimeoutAfterFailure};
 }
 
 bool ControlChoice::IsBetter(MonotonicTime now,
@@ -102,7 +141,10 @@
   if (failures != other_failures) {
     return failures < other_failures;
   }
-  return one.is_local && !other.is_local;
+  if (one.is_local != other.is_local) {
+    return one.is_local;
+  }
+  return one.is_voter && !other.is_voter;
 }
 
 std::uint32_t ControlChoice::RecentFailures(MonotonicTime now,
--- a/src/policy/control_choice.h
+++ b/src/policy/control_choice.h
@@ -11,6 +11,15 @@
 
 namespace marigold {
 
+// A control VM that a heartbeat names.
+struct ListedControl {
+  Endpoint endpoint;
+  // True if it is in the data centre of the chooser.
+  bool is_local = false;
+  // A VM that has been replaced for good remains a member without a vote.
+  bool is_voter = true;
+};
+
 // Selects the control VM to connect to next. The order is random. Control VMs
 // that failed or had no quorum are tried again only after a back-off. Not
 // synchronised.
@@ -21,9 +30,13 @@
     // The time of the attempt. It is in the future only if all control VMs are
     // in back-off.
     MonotonicTime at;
+    // The time after which the attempt has failed unless the control VM has
+    // sent something.
+    Duration reply_timeout;
   };
 
-  // `endpoints` must not be empty. `seed` determines the random order.
+  // `endpoints`, which are the ones of the settings, must not be empty. `seed`
+  // determines the random order.
   ControlChoice(std::vector<Endpoint> endpoints, std::uint64_t seed);
 
   // Commands.
@@ -36,14 +49,14 @@
   void OnNoQuorum(MonotonicTime now, const Endpoint& endpoint);
   void OnSuccess(const Endpoint& endpoint);
 
-  // Adds an endpoint unless it is known, and sets whether it is in the local
-  // data centre. Local control VMs are tried before others.
-  void AddEndpoint(const Endpoint& endpoint, bool is_local);
+  // Replaces the set of listed control VMs. Endpoints that are neither in it
+  // nor in the settings are forgotten. Does nothing if `listed` is empty.
+  void OnListed(const std::vector<ListedControl>& listed);
 
   // Returns the next attempt. Prefers control VMs that are not in back-off,
-  // among these the ones with the fewest recent failures, and among these the
-  // local ones. If all are in back-off, returns the one whose back-off ends
-  // first. Control VMs that are equal in this are tried in turn.
+  // among these the ones with the fewest recent failures, then the local ones,
+  // then the voters. If all are in back-off, returns the one whose back-off
+  // ends first. Control VMs that are equal in this are tried in turn.
   Attempt NextAttempt(MonotonicTime now);
 
   // Queries.
@@ -60,6 +73,9 @@
     Endpoint endpoint;
     std::uint32_t consecutive_failures = 0;
     bool is_local = false;
+    bool is_voter = true;
+    // True if the settings name it. It is then never forgotten.
+    bool is_in_settings = false;
     // The end of the back-off.
     MonotonicTime not_before = MonotonicTime::min();
   };
--- a/src/wire/control_messages.h
+++ b/src/wire/control_messages.h
@@ -48,10 +48,11 @@
 struct ControlVmLocation {
   Endpoint endpoint;
   DataCentreId data_centre;
+  bool is_voter = true;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(this->endpoint, this->data_centre);
+    archive(this->endpoint, this->data_centre, this->is_voter);
   }
 };
 
