Report no quorum while a control VM can't follow the group

Callers would see: routes of before for as long as the disk of a control VM is full or hangs, from the entry VMs that follow it.

Cause: a member whose disk has failed still notes its leader, and its commit index stands still, so "follows a leader and has applied what is committed" stays true and its heartbeats claim a quorum. Entry VMs follow it, and those of its data centre even return to it. The same claim stays for as long as a write hangs on a VM with several workers, and for a follower that hears what is committed and never gets it.

Change: no quorum is reported while the disk has failed, if the published status is older than 1 s, or if the member has made no progress for 1 s towards the index that its leader reports as committed (ReplicationLag).

--- a/src/net/control/control_driver_outputs.cc
+++ b/src/net/control/control_driver_outputs.cc
@@ -152,11 +152,7 @@
   if (this->replica) {
     const DriverReplica& member = *this->replica;
     status.is_leader = member.role() == ReplicaRole::kLeader;
-    status.has_quorum = status.is_leader
-                            ? member.ReadIndex(this->clock.Now()).has_value()
-                            : member.leader().has_value() &&
-                                  member.has_committed_in_term() &&
-                                  this->applied_index >= member.commit_index();
+    status.has_quorum = this->HasCurrentLists(this->clock.Now());
     status.storage_failed = member.storage_failed();
     status.is_probationary = member.is_boot_unconfirmed();
     status.leader = member.leader();
@@ -170,6 +166,24 @@
   this->table.Publish(std::move(status));
 }
 
+// True if the table holds what the group has committed, but for the last
+// moments. Entry VMs follow only such a control VM.
+bool ControlDriver::Impl::HasCurrentLists(MonotonicTime now) {
+  const DriverReplica& member = *this->replica;
+  this->lag.OnApplied(now, this->applied_index);
+  this->lag.OnReported(now, member.leader_commit_index());
+  // A member whose disk has failed hears its leader but applies nothing.
+  if (member.storage_failed()) {
+    return false;
+  }
+  if (member.role() == ReplicaRole::kLeader) {
+    return member.ReadIndex(now).has_value();
+  }
+  return member.leader().has_value() && member.has_committed_in_term() &&
+         this->applied_index >= member.commit_index() &&
+         !this->lag.IsLagging(now);
+}
+
 void ControlDriver::Impl::ReportListsChanged() {
   const LogIndex lists_index = this->table.lists_index();
   if (lists_index != this->reported_lists_index ||
--- a/src/net/control/detail/control_driver_impl.h
+++ b/src/net/control/detail/control_driver_impl.h
@@ -18,6 +18,7 @@
 #include "src/net/control/control_driver.h"
 #include "src/net/control/peer_links.h"
 #include "src/net/control/pending_entries.h"
+#include "src/policy/replication_lag.h"
 #include "src/replication/file_storage.h"
 #include "src/replication/group_formation.h"
 #include "src/replication/replica.h"
@@ -125,6 +126,7 @@
   void FailStaleTermEntries();
   void CompactIfDue();
   void PublishStatus();
+  bool HasCurrentLists(MonotonicTime now);
   void ReportListsChanged();
   // Runs `call` at the end of the current batch, after `mutex` is released.
   void RunAfterUnlock(std::function<void()> call);
@@ -168,6 +170,7 @@
   std::vector<std::function<void()>> calls_after_unlock;
   std::function<void()> on_drained;
   LogIndex applied_index;
+  ReplicationLag lag{clock.Now()};
   LogIndex reported_lists_index;
   bool has_quorum = false;
   bool reported_has_quorum = false;
--- a/src/replication/detail/follower.cc
+++ b/src/replication/detail/follower.cc
@@ -59,6 +59,8 @@
 void Follower::OnAppend(ReplicaState& state,
                         const ReplicaMessage& message,
                         const AppendRequest& request) {
+  state.leader_commit_index =
+      std::max(state.leader_commit_index, request.commit_index);
   if (!IsWellFormed(message, request)) {
     LogEvent(LogLevel::kError, "append_malformed",
              {{"from", message.from.value()},
@@ -98,6 +100,7 @@
 void Follower::OnChunk(ReplicaState& state,
                        const ReplicaMessage& message,
                        const SnapshotChunk& chunk) {
+  state.leader_commit_index = std::max(state.leader_commit_index, chunk.index);
   // A member that has the snapshot's last entry has all entries before it, too.
   if (state.log.TermAt(chunk.index) == chunk.snapshot_term) {
     state.AdvanceCommit(chunk.index);
--- a/src/replication/detail/replica_state.h
+++ b/src/replication/detail/replica_state.h
@@ -76,6 +76,9 @@
   // an earlier boot may have answered a leader just before.
   MonotonicTime last_leader_contact;
   LogIndex commit_index;
+  // The newest index that a leader has reported as committed. This member may
+  // lack entries up to it.
+  LogIndex leader_commit_index;
   // How long the last sync of this disk took. Syncs of other disks may take as
   // long.
   Duration last_sync_duration{};
--- a/src/replication/replica.h
+++ b/src/replication/replica.h
@@ -113,6 +113,11 @@
   const DiskId& disk() const { return this->replica_state().disk; }
   Term term() const { return this->replica_state().hard_state.term; }
   LogIndex commit_index() const { return this->replica_state().commit_index; }
+  // The newest index that a leader has reported as committed, which may lie
+  // after the own commit index.
+  LogIndex leader_commit_index() const {
+    return this->replica_state().leader_commit_index;
+  }
   // True once an entry of the current term is committed here. All entries
   // committed in earlier terms are then committed here as well.
   bool has_committed_in_term() const {
--- a/src/tables/control_status.h
+++ b/src/tables/control_status.h
@@ -34,7 +34,8 @@
   Member self;
   DataCentreId data_centre;
   bool is_leader = false;
-  // True if this VM leads with a quorum, or receives messages from a leader.
+  // True if this VM leads with a quorum, or follows a leader and has what that
+  // leader has committed.
   bool has_quorum = false;
   bool storage_failed = false;
   // True if the disk of this VM may not vote yet.
--- a/src/tables/control_table.cc
+++ b/src/tables/control_table.cc
@@ -21,6 +21,7 @@
 void ControlTable::Publish(ControlStatus status) {
   const RankedLock lock(this->mutex);
   this->published_status = std::move(status);
+  this->published_at = this->clock.Now();
 }
 
 std::string ControlTable::Serialise() const {
@@ -72,6 +73,8 @@
 ControlStatus ControlTable::Status() const {
   const RankedLock lock(this->mutex);
   ControlStatus status = this->published_status;
+  status.has_quorum = status.has_quorum &&
+                      this->clock.Now() - this->published_at <= kMaxStatusAge;
   status.lists_index = this->state.lists_index();
   status.plans_version = this->state.lists().plans_version;
   status.usage_version = this->state.lists().usage_version;
--- a/src/tables/control_table.h
+++ b/src/tables/control_table.h
@@ -8,6 +8,7 @@
 #include <utility>
 #include <vector>
 
+#include "src/core/clock.h"
 #include "src/core/ranked_mutex.h"
 #include "src/tables/control_state.h"
 #include "src/tables/control_status.h"
@@ -19,6 +20,10 @@
 // Only the control driver calls the commands.
 class ControlTable {
  public:
+  // The driver publishes the status several times in this time. It does not
+  // while a write to the disk hangs, and the lists then grow old unnoticed.
+  static constexpr Duration kMaxStatusAge = std::chrono::seconds(1);
+
   explicit ControlTable(ControlStateSettings settings);
 
   // Commands.
@@ -44,16 +49,19 @@
   LogIndex lists_index() const;
   std::vector<ChangeRecord> History(std::size_t limit) const;
   // The published status with the current list versions and ledger size.
-  // `subscribers` is empty.
+  // `subscribers` is empty. `has_quorum` is false if the status is older than
+  // `kMaxStatusAge`.
   ControlStatus Status() const;
 
  private:
   // Requires that the lock is held.
   ListUpdate FullUpdateLocked() const;
 
+  SystemClock clock;
   mutable RankedMutex<LockRank::kControlState> mutex;
   ControlState state;
   ControlStatus published_status;
+  MonotonicTime published_at;
 };
 
 }  // namespace marigold
