Leave a control VM that does not deliver the newest lists

Callers would see: routes of before from an entry VM whose control VM is connected, sends heartbeats and claims a quorum, but does not send what is new, or is itself behind what the entry VM already has.

Cause: an entry VM left a control VM only when the connection failed, was silent or the quorum was gone. It compared the reported index with its own nowhere after the start, and neither log nor metrics said how long ago its lists were confirmed.

Change: an entry VM that makes no progress for 1 s towards the newest reported index, or follows a control VM that reports less than that, counts a failure of the control VM and takes another one (ReplicationLag, as on the control VMs). It logs control_behind, lists_unconfirmed after 2 s and lists_confirmed, each with the age of its lists, and serves marigold_lists_confirmed_age_seconds and the same in /state.

--- a/cmake/programs.cmake
+++ b/cmake/programs.cmake
@@ -20,4 +20,5 @@
 if(MARIGOLD_TESTS)
   marigold_program(tests/platform/platform_standin.cc marigold_net)
   marigold_program(tests/platform/platform_caller.cc marigold_net)
+  marigold_program(tests/platform/unreachable_address.cc marigold_core)
 endif()
--- a/src/net/callers/caller_api.cc
+++ b/src/net/callers/caller_api.cc
@@ -97,6 +97,7 @@
       this->components.lists, this->components.servers, this->components.notes);
   state.vm = this->components.settings.actions.vm;
   state.are_lists_known = this->components.are_lists_known();
+  state.lists_confirmed_age = this->components.lists_confirmed_age();
   state.caller_connections = this->components.caller_connections();
   state.admission_running = this->components.gate.running();
   state.admission_waiting = this->components.gate.waiting();
--- a/src/net/callers/entry_components.h
+++ b/src/net/callers/entry_components.h
@@ -48,6 +48,9 @@
   CallerSettings settings;
   // Returns true once the process knows which lists are in force.
   std::function<bool()> are_lists_known;
+  // Returns the time since a control VM last confirmed that the lists are the
+  // newest, or zero if the process follows none.
+  std::function<Duration()> lists_confirmed_age;
   // Returns the number of open caller connections.
   std::function<std::size_t()> caller_connections;
 };
--- a/src/net/control/control_client.cc
+++ b/src/net/control/control_client.cc
@@ -26,7 +26,7 @@
 
 }  // namespace
 
-// All mutable members except `has_synchronised` are used only on the queue.
+// All mutable members except the atomic ones are used only on the queue.
 struct ControlClient::Impl : std::enable_shared_from_this<Impl> {
   Impl(WorkerPool& pool,
        ListTable& list_table,
@@ -40,7 +40,7 @@
   void CreateComponents(WorkerPool& pool) {
     const auto on_progress = [weak = this->weak_from_this()] {
       if (const auto self = weak.lock()) {
-        self->UpdateSynchronised();
+        self->OnProgress();
       }
     };
     this->sharing = std::make_shared<ListSharing>(
@@ -73,6 +73,13 @@
     }
   }
 
+  void OnProgress() {
+    if (this->stream) {
+      this->lists_confirmed_at = this->stream->lists_confirmed_at();
+    }
+    this->UpdateSynchronised();
+  }
+
   void UpdateSynchronised() {
     if (this->has_synchronised) {
       return;
@@ -154,6 +161,7 @@
   TimerHandle peer_timer;
   TimerHandle confirmation_timer;
   std::atomic<bool> has_synchronised = false;
+  std::atomic<MonotonicTime> lists_confirmed_at = SystemClock().Now();
 };
 
 ControlClient::ControlClient(WorkerPool& worker_pool,
@@ -222,6 +230,10 @@
   });
 }
 
+Duration ControlClient::lists_confirmed_age() const {
+  return this->impl->clock.Now() - this->impl->lists_confirmed_at.load();
+}
+
 bool ControlClient::is_synchronised() const {
   return this->impl->has_synchronised;
 }
--- a/src/net/control/control_client.h
+++ b/src/net/control/control_client.h
@@ -93,6 +93,11 @@
   // `start_without_quorum_after` has passed. Never becomes false again.
   bool is_synchronised() const;
 
+  // Returns the time since a control VM in contact with a quorum last confirmed
+  // that the lists are the newest, or since the start. May be called from any
+  // thread.
+  Duration lists_confirmed_age() const;
+
   struct Impl;
 
  private:
--- a/src/net/control/list_stream.cc
+++ b/src/net/control/list_stream.cc
@@ -16,6 +16,10 @@
 // which the kernel retransmits a SYN packet that a VM without power has missed.
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(200);
 
+// Lists that were not confirmed for this long are logged. A change of the
+// stream after a silence usually takes less.
+constexpr Duration kUnconfirmedLogAge = std::chrono::seconds(2);
+
 }  // namespace
 
 ListStream::ListStream(WorkerPool& worker_pool,
@@ -118,7 +122,8 @@
 }
 
 void ListStream::OnUpdate(const ListUpdate& update) {
-  const ListUpdateResult result = this->table.Apply(this->clock.Now(), update);
+  const MonotonicTime now = this->clock.Now();
+  const ListUpdateResult result = this->table.Apply(now, update);
   if (result == ListUpdateResult::kGap) {
     this->Subscribe(LogIndex());
     return;
@@ -129,6 +134,7 @@
               {"index", update.to.value()},
               {"control", ToString(this->current_control)}});
   }
+  this->lag.OnApplied(now, this->table.index());
   this->SendHeartbeat();
   this->on_progress();
 }
@@ -185,7 +191,11 @@
   if (heartbeat.has_quorum) {
     this->choice.OnSuccess(this->current_control);
     this->last_confirmed_index = heartbeat.index;
-    if (this->choice.HasLocalAlternative(now, this->current_control)) {
+    this->lag.OnApplied(now, this->table.index());
+    this->lag.OnReported(now, heartbeat.index);
+    if (this->lag.IsLagging(now)) {
+      this->Abandon("control_behind");
+    } else if (this->choice.HasLocalAlternative(now, this->current_control)) {
       LogEvent(LogLevel::kInfo, "control_nearer",
                {{"left", ToString(this->current_control)}});
       this->connection->Close();
@@ -202,6 +212,29 @@
   this->on_progress();
 }
 
+void ListStream::Abandon(std::string_view event) {
+  const MonotonicTime now = this->clock.Now();
+  LogEvent(LogLevel::kWarning, event,
+           {{"control", ToString(this->current_control)},
+            {"index", this->table.index().value()},
+            {"age_ms", ToMilliseconds(now - this->lists_confirmed_at())}});
+  this->choice.OnFailure(now, this->current_control);
+  this->connection->Close();
+}
+
+void ListStream::LogListsAge() {
+  const Duration age = this->clock.Now() - this->lists_confirmed_at();
+  const bool is_unconfirmed = age >= kUnconfirmedLogAge;
+  if (is_unconfirmed != this->is_logged_unconfirmed) {
+    this->is_logged_unconfirmed = is_unconfirmed;
+    LogEvent(is_unconfirmed ? LogLevel::kWarning : LogLevel::kInfo,
+             is_unconfirmed ? "lists_unconfirmed" : "lists_confirmed",
+             {{"control", ToString(this->current_control)},
+              {"index", this->table.index().value()},
+              {"age_ms", ToMilliseconds(age)}});
+  }
+}
+
 void ListStream::OnClosed(const ConnectionPtr& closed, CloseReason reason) {
   if (closed != this->connection || this->is_stopped) {
     return;
@@ -211,6 +244,7 @@
             {"reason", ToString(reason)}});
   this->connection.reset();
   this->last_confirmed_index.reset();
+  this->lag.OnSourceLost();
   // If this side closed the stream, `choice` already reflects the cause.
   if (reason != CloseReason::kClosedHere) {
     this->choice.OnFailure(this->clock.Now(), this->current_control);
@@ -238,6 +272,7 @@
                                               const auto self = weak.lock();
                                               if (self && !self->is_stopped) {
                                                 self->SendHeartbeat();
+                                                self->LogListsAge();
                                                 self->ArmHeartbeat();
                                               }
                                             });
--- a/src/net/control/list_stream.h
+++ b/src/net/control/list_stream.h
@@ -5,12 +5,14 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "src/core/clock.h"
 #include "src/net/control/control_client.h"
 #include "src/net/control/framed_connection.h"
 #include "src/net/serial_queue.h"
 #include "src/policy/control_choice.h"
+#include "src/policy/replication_lag.h"
 #include "src/tables/list_table.h"
 #include "src/tables/listing_table.h"
 #include "src/wire/control_messages.h"
@@ -19,8 +21,9 @@
 
 // Subscribes to one control VM and writes its updates to the list table.
 // Switches to another control VM when the connection fails or goes silent, when
-// the control VM loses contact with a quorum, and when a control VM in the same
-// data centre is available again. All methods must be called on the queue.
+// the control VM loses contact with a quorum or does not send the newest lists,
+// and when a control VM in the same data centre is available again. All methods
+// must be called on the queue.
 class ListStream : public std::enable_shared_from_this<ListStream> {
  public:
   // `progress_handler` is called on the queue after each applied update, each
@@ -59,6 +62,9 @@
   std::optional<LogIndex> confirmed_index() const {
     return this->last_confirmed_index;
   }
+  // The last time when a control VM in contact with a quorum confirmed that the
+  // lists of this VM are the newest. Before that, the time of the construction.
+  MonotonicTime lists_confirmed_at() const { return this->lag.confirmed_at(); }
 
  private:
   using ConnectionPtr = std::shared_ptr<FramedConnection>;
@@ -74,6 +80,9 @@
   void Announce();
   void SendHeartbeat();
   void ArmHeartbeat();
+  // Closes the stream and counts it as a failure of its control VM.
+  void Abandon(std::string_view event);
+  void LogListsAge();
 
   WorkerPool& pool;
   SerialQueue queue;
@@ -89,6 +98,9 @@
   Endpoint current_control;
   ConnectionPtr connection;
   std::optional<LogIndex> last_confirmed_index;
+  ReplicationLag lag{clock.Now()};
+  // True while the lists are logged as unconfirmed.
+  bool is_logged_unconfirmed = false;
   TimerHandle connect_timer;
   TimerHandle heartbeat_timer;
   bool is_stopped = false;
--- a/src/policy/entry_state.h
+++ b/src/policy/entry_state.h
@@ -51,6 +51,8 @@
   LogIndex lists_index;
   // The time since the lists last changed.
   Duration lists_age{};
+  // The time since a control VM last confirmed that the lists are the newest.
+  Duration lists_confirmed_age{};
   std::vector<ServerSummary> servers;
   // The recent refused and incomplete requests, newest first.
   std::vector<RequestNote> notes;
--- a/src/programs/entry_process.cc
+++ b/src/programs/entry_process.cc
@@ -68,6 +68,12 @@
            .clock = clock,
            .settings = ToCallerSettings(settings),
            .are_lists_known = [this] { return this->lists_known(); },
+           .lists_confirmed_age =
+               [this] {
+                 return this->control == nullptr
+                            ? Duration::zero()
+                            : this->control->lists_confirmed_age();
+               },
            .caller_connections =
                [this] { return this->server->open_connections(); }}) {}
 
--- a/src/programs/forward_admin.cc
+++ b/src/programs/forward_admin.cc
@@ -33,6 +33,8 @@
     response.status = is_ready ? response.status : kStatusNotReady;
     response.body = is_ready ? "ready" : "not ready";
   } else if (request.path == "/metrics") {
+    this->sources.metrics.SetListsConfirmedAge(
+        this->sources.lists_confirmed_age());
     response.body = this->sources.metrics.Render();
   } else if (request.path == "/state") {
     response.content_type = "application/json";
@@ -70,14 +72,15 @@
 
 std::string ForwardAdmin::StateJson() const {
   const auto routes = this->sources.lists.Routes();
-  return fmt::format(
-      R"({{"routes_version":{},"listed_servers":{},"listing_age_ms":{:.0f},)"
-      R"("connections":{},"leaving":{}}})",
-      routes ? routes->table().version.value() : 0,
-      this->sources.listing.Servers()->size(),
-      ListingAgeMs(this->sources.listing, this->clock.Now()),
-      this->sources.open_connections(),
-      this->sources.lifecycle.phase() != ProcessPhase::kServing);
+  return fmt::format(R"({{"routes_version":{},"lists_confirmed_age_ms":{:.0f},)"
+                     R"("listed_servers":{},"listing_age_ms":{:.0f},)"
+                     R"("connections":{},"leaving":{}}})",
+                     routes ? routes->table().version.value() : 0,
+                     ToMilliseconds(this->sources.lists_confirmed_age()),
+                     this->sources.listing.Servers()->size(),
+                     ListingAgeMs(this->sources.listing, this->clock.Now()),
+                     this->sources.open_connections(),
+                     this->sources.lifecycle.phase() != ProcessPhase::kServing);
 }
 
 }  // namespace marigold
--- a/src/programs/forward_admin.h
+++ b/src/programs/forward_admin.h
@@ -26,11 +26,13 @@
   const ListTable& lists;
   const ListingTable& listing;
   BackendTable& backends;
-  const ForwardMetrics& metrics;
+  ForwardMetrics& metrics;
   const Lifecycle& lifecycle;
   // Returns false while it is not certain which routes are in force.
   std::function<bool()> are_routes_known;
   std::function<std::size_t()> open_connections;
+  // Returns the time since the lists were last confirmed as the newest.
+  std::function<Duration()> lists_confirmed_age;
 };
 
 // Answers the readiness check, `/metrics` and `/state`. May be used by several
--- a/src/programs/forward_process.h
+++ b/src/programs/forward_process.h
@@ -38,10 +38,10 @@
                     ToFanOutSettings(process_settings)),
         pool(process_settings.workers),
         control(pool, lists, listing, ToControlSettings(process_settings)),
-        answers(
-            {settings, lists, listing, backends, metrics, lifecycle,
-             [this] { return this->knows_routes(); },
-             [this] { return this->caller_listener->open_connections(); }}) {}
+        answers({settings, lists, listing, backends, metrics, lifecycle,
+                 [this] { return this->knows_routes(); },
+                 [this] { return this->caller_listener->open_connections(); },
+                 [this] { return this->control.lists_confirmed_age(); }}) {}
 
   ForwardProcess(const ForwardProcess&) = delete;
   ForwardProcess& operator=(const ForwardProcess&) = delete;
--- a/src/tables/entry_gauges.cc
+++ b/src/tables/entry_gauges.cc
@@ -130,6 +130,10 @@
   AppendGauge("marigold_lists_age_seconds",
               "Time since the lists in force here changed.",
               ToSeconds(state.lists_age), families);
+  AppendGauge(
+      "marigold_lists_confirmed_age_seconds",
+      "Time since a control VM confirmed that the lists are the newest.",
+      ToSeconds(state.lists_confirmed_age), families);
   AppendFamily("marigold_processor_seconds_total",
                "Processor time of this process, user and system.",
                MetricType::Counter, "", {{"", ProcessorSeconds()}}, families);
--- a/src/tables/forward_metrics.cc
+++ b/src/tables/forward_metrics.cc
@@ -48,6 +48,13 @@
           "marigold_server_notices_total",
           "Replies in which a backend server said that it is leaving, asked "
           "for a pause, or stated a pause that can't be read.")),
+      lists_confirmed_age(
+          prometheus::BuildGauge()
+              .Name("marigold_lists_confirmed_age_seconds")
+              .Help("Time since a control VM confirmed that the lists are the "
+                    "newest.")
+              .Register(*registry)
+              .Add({})),
       partial(AddCounterFamily(*registry,
                                "marigold_forward_partial_total",
                                "Merged answers that lack shards.")
@@ -77,6 +84,10 @@
   this->refusals.Add({{"cause", std::string(reason)}}).Increment();
 }
 
+void ForwardMetrics::SetListsConfirmedAge(Duration age) {
+  this->lists_confirmed_age.Set(ToSeconds(age));
+}
+
 void ForwardMetrics::OnGroupQuery(std::string_view event) {
   this->group_queries.Add({{"event", std::string(event)}}).Increment();
 }
--- a/src/tables/forward_metrics.h
+++ b/src/tables/forward_metrics.h
@@ -2,6 +2,7 @@
 #define SRC_TABLES_FORWARD_METRICS_H_
 
 #include <prometheus/counter.h>
+#include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
@@ -28,6 +29,9 @@
   // A server said something about itself. `kind` is a stable text such as
   // "pause".
   void OnServerNotice(std::string_view kind);
+  // Sets the time since a control VM last confirmed that the lists are the
+  // newest.
+  void SetListsConfirmedAge(Duration age);
   // A query for a group of shards. `event` is a stable text such as "sent".
   void OnGroupQuery(std::string_view event);
 
@@ -44,6 +48,7 @@
   prometheus::Family<prometheus::Counter>& refusals;
   prometheus::Family<prometheus::Counter>& group_queries;
   prometheus::Family<prometheus::Counter>& server_notices;
+  prometheus::Gauge& lists_confirmed_age;
   prometheus::Counter& partial;
   prometheus::Counter& first_sends;
   prometheus::Counter& repeated_sends;
--- a/src/wire/state_json.cc
+++ b/src/wire/state_json.cc
@@ -80,7 +80,9 @@
                                  {"waiting", state.admission_waiting}}},
       {"lists", json::object{{"known", state.are_lists_known},
                              {"index", state.lists_index.value()},
-                             {"age_ms", ToMilliseconds(state.lists_age)}}},
+                             {"age_ms", ToMilliseconds(state.lists_age)},
+                             {"confirmed_age_ms",
+                              ToMilliseconds(state.lists_confirmed_age)}}},
       {"servers", ToArray(state.servers)},
       {"recent_refusals_and_gaps", ToArray(state.notes)},
   });
--- a/tests/control_client_test.cc
+++ b/tests/control_client_test.cc
@@ -67,6 +67,10 @@
   // requests for lists are not answered.
   std::optional<ListUpdate> lists;
   bool has_quorum = true;
+  // The index in heartbeats, if it is not that of `lists`.
+  std::optional<LogIndex> reported_index;
+  // Accepts connections and sends nothing.
+  bool is_frozen = false;
   // Requests for lists are answered after this time.
   Duration reply_delay{};
   // True if replies say that this control VM is the leader.
@@ -84,6 +88,9 @@
   void Serve(const std::shared_ptr<FramedConnection>& connection) {
     FramedHandlers handlers;
     handlers.on_body = [this, connection](const std::string& body) {
+      if (this->is_frozen) {
+        return;
+      }
       auto decoded =
           Capture<ControlMessage>([&] { return DecodeControlMessage(body); });
       std::visit([&](auto& message) { this->On(*connection, message); },
@@ -170,8 +177,9 @@
   void On(FramedConnection&, const Message&) {}
 
   void SendHeartbeat(FramedConnection& connection) {
+    const LogIndex index = this->lists ? this->lists->to : LogIndex();
     connection.Send(EncodeControlMessage(StreamHeartbeat{
-        this->lists ? this->lists->to : LogIndex(), this->has_quorum}));
+        this->reported_index.value_or(index), this->has_quorum}));
   }
 
   WorkerPool& pool;
@@ -493,6 +501,59 @@
             "expected a stream to the VM with a quorum, actual none");
 }
 
+struct FollowRow {
+  const char* scenario;
+  // What is wrong with the first control VM. The second one is well.
+  bool is_frozen;
+  std::optional<LogIndex> reported_index;
+};
+
+const FollowRow kFollowRows[] = {
+    {"it has frozen before the start", true, {}},
+    {"it reports newer lists than it sends", false, LogIndex(9)},
+    {"it reports older lists than the client has", false, LogIndex(4)},
+};
+
+ParameterizedTestParameters(ControlClient, ControlVmThatFallsBehindIsLeft) {
+  return RowIndices(kFollowRows);
+}
+
+// Guards against an entry VM that serves by old routes, because the control VM
+// that it follows is connected and claims a quorum but does not deliver what is
+// new.
+ParameterizedTest(std::size_t* index,
+                  ControlClient,
+                  ControlVmThatFallsBehindIsLeft) {
+  const FollowRow& row = kFollowRows[*index];
+  ListTable table;
+  ListingTable listing;
+  WorkerPool pool(2);
+  ScriptedPeer behind(pool, Address(1));
+  behind.lists = ListsAt(5);
+  behind.is_frozen = row.is_frozen;
+  behind.reported_index = row.reported_index;
+  ScriptedPeer current(pool, Address(2));
+  current.lists = ListsAt(9);
+  ControlClientSettings settings = TestClientSettings();
+  settings.silence_timeout = std::chrono::seconds(10);
+  ControlClient client(pool, table, listing, settings);
+  client.Start();
+  // The client may follow either control VM at first. Configurations have to be
+  // in force within 3 s.
+  const bool is_current = Await(
+      pool, [&] { return current.subscriber_count > 0; },
+      std::chrono::seconds(3));
+  const bool is_confirmed = Await(pool, [&] {
+    return table.index() == LogIndex(9) &&
+           client.lists_confirmed_age() < std::chrono::seconds(1);
+  });
+  pool.Stop();
+  cr_assert(is_current && is_confirmed,
+            "%s: expected a stream to the other control VM and confirmed lists "
+            "at index 9, actual %d, %d, index %lu",
+            row.scenario, is_current, is_confirmed, table.index().value());
+}
+
 // Guards against an entry VM that does not serve its lists to others. While no
 // control VM is reachable, an entry VM that starts would then have no lists.
 Test(ControlClient, EntryVmServesListsToAnother) {
--- a/tests/platform/system.sh
+++ b/tests/platform/system.sh
@@ -4,7 +4,7 @@
 # tests/process/platform_*.sh, which set `base`, the first two numbers of the
 # addresses.
 cd "$(dirname "${BASH_SOURCE[0]}")/../.."
-bin=build/release
+bin=${bin:-build/release}
 work=$(mktemp -d)
 net=$base.0
 port=7100
@@ -36,8 +36,12 @@
 ok() { echo "ok: $1"; }
 expect() { [ "$2" = "$3" ] || fail "$1: expected $2, actual $3"; ok "$1"; }
 
+# data_centre_of PROCESS: the data centre in which a process runs.
+if ! declare -F data_centre_of >/dev/null; then
+  data_centre_of() { echo dc1; }
+fi
 start_control() {
-  "$bin/marigold-platform-control" --vm="c$1" --data-centre=dc1 \
+  "$bin/marigold-platform-control" --vm="c$1" --data-centre="$(data_centre_of "c$1")" \
     --data-folder="$work/c$1" --operators=$net.$1:7180 --seeds=$seeds \
     --internal-port=$port --server-list=$list --first-start="$2" \
     --losses=1 >>"$work/c$1.log" 2>&1 &
@@ -47,7 +51,7 @@
 # The window of the retry budget is short, because few retries are allowed in the
 # first window after a start.
 start_entry() {
-  "$bin/marigold-platform-entry" --vm="e$1" --data-centre=dc1 \
+  "$bin/marigold-platform-entry" --vm="e$1" --data-centre="$(data_centre_of "e$1")" \
     --listen=$net.1$1:8080 --admin=$net.1$1:8081 --seeds=$seeds \
     --internal-port=$port --server-list=$list --stop-bound-s=$stop_bound_s \
     --retry-window-s=0.1 \
@@ -72,7 +76,8 @@
 }
 is_ready() { [ "$(curl -s -m 1 -o /dev/null -w '%{http_code}' "$net.1$1:8081/v1/ready")" = 200 ]; }
 
-# config VERSION TIMEOUT: routes over two shards, one service, and one action.
+# config VERSION TIMEOUT: routes over two shards, one service, one action, and one
+# whose path names the version.
 config() {
   local services='["s1","s2"]'
   cat <<JSON
@@ -81,7 +86,9 @@
   "TimeoutMs":$2,"TargetLatencyMs":200,"Priority":1,"Gather":$services,
   "Attempts":2,"TopK":3,"MinCoverage":0.5},
  {"Name":"act","Host":"a.example","PathPrefix":"/act/",
-  "RouteType":"non_idempotent","TimeoutMs":$2,"TargetLatencyMs":200,"Backend":"s1","Attempts":2}],
+  "RouteType":"non_idempotent","TimeoutMs":$2,"TargetLatencyMs":200,"Backend":"s1","Attempts":2},
+ {"Name":"newest","Host":"a.example","PathPrefix":"/v$1/","RouteType":"idempotent",
+  "TimeoutMs":$2,"TargetLatencyMs":200,"Backend":"s1","Attempts":2}],
  "Backends":[{"Name":"s1","HealthPath":"/health","MaxConnections":50},
   {"Name":"s2","HealthPath":"/health","MaxConnections":50}],
  "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":262144,
@@ -99,6 +106,20 @@
   done
   return 1
 }
+# put_next_config CONTROL...: sends the next configuration to these control VMs
+# until one accepts it.
+version=3
+put_next_config() {
+  version=$((version + 1))
+  within $ack_ms "configuration $version is accepted" accepts_config "$@"
+}
+accepts_config() {
+  local control
+  for control in "$@"; do
+    [ "$(put_config $net.$control:7180 $version 1200)" = 200 ] && return 0
+  done
+  return 1
+}
 read_version() {
   for i in 1 2 3; do
     curl -s -L -m 2 "$net.$i:7180/v1/Config.Read" | grep -o '"Version":[0-9]*' && return 0
