Count own lists among the newest known ones

Cause: an entry VM that got its lists from elsewhere, and whose control VM reports an older index, took that index for the newest one, since no source had reported a newer one. It stayed with the control VM that lags.

--- a/src/policy/replication_lag.h
+++ b/src/policy/replication_lag.h
@@ -43,7 +43,8 @@
       return;
     }
     this->own_index = index;
-    if (index >= this->newest_index) {
+    this->newest_index = std::max(this->newest_index, index);
+    if (index == this->newest_index) {
       this->behind_since.reset();
     } else if (this->behind_since) {
       this->behind_since = now;
@@ -67,6 +68,7 @@
   MonotonicTime confirmed_at() const { return this->last_confirmed_at; }
 
  private:
+  // The newest index that any source has reported or the copy has.
   LogIndex newest_index;
   LogIndex own_index;
   MonotonicTime last_confirmed_at;
