Sync the log that an earlier process on the disk has written

Callers would see: an acknowledged configuration that is gone after a loss of power.

Cause: a process that is killed between a write and its sync leaves entries in the memory of the system. The next process loads them, has nothing to write when the leader sends them again, and acknowledges them without a sync. Found while reading what a repair of the disk may rely on.

Change: after a load the tail of the log and the folder count as not synced, so that the first sync, which records the boot, covers them.

Measured: storage_repair_test (EntriesOfAnEarlierProcessAreSynced) plays the kill and the loss of power with replaced system calls: "expected the 4 entries that were loaded, actual 3" without the change.

--- a/src/replication/file_storage.h
+++ b/src/replication/file_storage.h
@@ -40,8 +40,10 @@
   // Commands.
 
   // Reads the folder. Removes an incomplete or damaged last record, which a
-  // crash during a write leaves behind. Fails with `ParseError`, whose field is
-  // the path of the file, on any other damage and on any gap in the log.
+  // crash during a write leaves behind. The entries count as not synced, since
+  // an earlier process may have ended before it synced them. Fails with
+  // `ParseError`, whose field is the path of the file, on any other damage and
+  // on any gap in the log.
   Result<StoredState> Load();
   // Appends the entries without a sync.
   Result<void> Append(const std::vector<LogEntry>& entries);
--- a/src/replication/file_storage_load.cc
+++ b/src/replication/file_storage_load.cc
@@ -109,6 +109,8 @@
                       detail::DecodeSnapshot(file_path, bytes));
   }
   BOOST_LEAF_CHECK(this->LoadLog(stored));
+  this->tail_needs_sync = this->tail.is_open();
+  this->folder_needs_sync = true;
   return stored;
 }
 
