Take a failed disk into use again in place

Callers would see (report of another operator): after the disks of the control VMs were full one after another, changes are refused or unanswered for good, while all processes run.

Cause: a replica whose disk has failed stayed stopped, and the process ended itself with code 1 once a probe of 256 KiB succeeded, in the hope that something restarts it. Where nothing does, where less room than that comes back, or before the replica was open (first start, forming the group: end or abort of the process), the group loses a voter for each full disk.

Change: FileStorage knows what is durable. Repair cuts the log to that, which writes the last block again, and drops cached pages, so that what a failed sync has left in the memory of the system is not believed. Load refuses a folder that lacks anything that was synced (term, vote, entries). The driver then opens the replica under a new boot, as after a crash, and skips entries that its table has. A disk that is full at the start is waited for, with the process running. Metrics count failures and recoveries. A limit on the size of files no longer ends the process (SIGXFSZ).

--- a/src/core/ids.h
+++ b/src/core/ids.h
@@ -89,6 +89,12 @@
   return detail::NumericId<Tag>(id.value() + 1);
 }
 
+// Returns the id before `id`, or 0 for 0.
+template <class Tag>
+detail::NumericId<Tag> Previous(detail::NumericId<Tag> id) {
+  return detail::NumericId<Tag>(id.value() == 0 ? 0 : id.value() - 1);
+}
+
 }  // namespace marigold
 
 template <class Tag, class Rep>
--- a/src/net/control/control_driver.cc
+++ b/src/net/control/control_driver.cc
@@ -19,8 +19,6 @@
 // would accept a larger one.
 constexpr std::size_t kMaxCommandBytes = 1024 * 1024;
 
-constexpr Duration kStorageProbeInterval = std::chrono::milliseconds(250);
-
 // A connection to a peer is replaced if nothing arrives on it for this number
 // of heartbeat intervals.
 constexpr int kSilentHeartbeatIntervals = 6;
@@ -30,13 +28,11 @@
 ControlDriver::Impl::Impl(WorkerPool& worker_pool,
                           ControlTable& control_table,
                           ControlDriverSettings driver_settings,
-                          FileStorage file_storage,
                           std::function<void()> lists_changed_handler)
     : pool(worker_pool),
       table(control_table),
       settings(std::move(driver_settings)),
       on_lists_changed(std::move(lists_changed_handler)),
-      storage(std::move(file_storage), counters.storage),
       random(SystemSeed()),
       compaction(settings.compaction, SystemSeed()) {}
 
@@ -53,16 +49,43 @@
   for (const Endpoint& peer : this->settings.peers) {
     this->AddHelloTarget(peer);
   }
-  BOOST_LEAF_AUTO(stored, this->storage.Peek());
+  const auto opened = Capture<bool>([this]() -> Result<bool> {
+    BOOST_LEAF_CHECK(this->OpenStorage());
+    return true;
+  });
+  if (const auto* error = std::get_if<AnyError>(&opened)) {
+    const auto* io_error = std::get_if<IoError>(error);
+    if (io_error == nullptr || !MayPass(*io_error)) {
+      return std::visit(
+          [](const auto& cause) -> Result<void> {
+            return boost::leaf::new_error(cause);
+          },
+          *error);
+    }
+    this->OnStorageFailed(this->clock.Now(), *error);
+  }
+  this->PublishStatus();
+  return {};
+}
+
+Result<void> ControlDriver::Impl::OpenStorage() {
+  if (this->storage) {
+    BOOST_LEAF_CHECK(this->storage->Repair());
+  } else {
+    BOOST_LEAF_AUTO(folder, FileStorage::Open(this->settings.data_folder));
+    this->storage.emplace(std::move(folder), this->counters.storage);
+  }
+  BOOST_LEAF_AUTO(stored, this->storage->Peek());
   this->disk = stored->disk;
   const bool is_new =
       stored->hard_state.boot_count == 0 && !stored->snapshot.has_value();
-  if (this->settings.init && is_new) {
+  if (!this->settings.init || !is_new || this->replica) {
+    return this->OpenReplica({});
+  }
+  if (!this->formation) {
     this->formation.emplace(this->OwnMember(), this->settings.peers);
-    this->PublishStatus();
-    return {};
   }
-  return this->OpenReplica({});
+  return {};
 }
 
 Result<void> ControlDriver::Impl::OpenReplica(Membership first_membership) {
@@ -70,7 +93,7 @@
   replica_settings.vm = this->settings.vm;
   replica_settings.initial_membership = std::move(first_membership);
   BOOST_LEAF_AUTO(
-      opened, DriverReplica::Open(std::move(replica_settings), this->storage,
+      opened, DriverReplica::Open(std::move(replica_settings), *this->storage,
                                   this->random, this->clock.Now()));
   this->replica.emplace(std::move(opened));
   this->formation.reset();
@@ -125,7 +148,7 @@
       this->RunReplica(now);
     }
     this->AnswerPendingReads();
-    this->ProbeFailedStorage(now);
+    this->RecoverStorage(now);
     this->PublishStatus();
     this->ReportListsChanged();
     if (this->on_drained && this->pending.size() == 0 &&
@@ -198,19 +221,48 @@
                   .count()}});
 }
 
-void ControlDriver::Impl::ProbeFailedStorage(MonotonicTime now) {
-  if (!this->replica || !this->replica->storage_failed() ||
-      !this->on_storage_usable || now < this->next_storage_probe_at) {
+void ControlDriver::Impl::RecoverStorage(MonotonicTime now) {
+  if (this->replica && this->replica->storage_failed() &&
+      !this->storage_retry.is_pending()) {
+    ++this->counters.storage_failures;
+    this->storage_retry.OnFailed(now);
+  }
+  if (!this->storage_retry.IsDue(now)) {
     return;
   }
-  this->next_storage_probe_at = now + kStorageProbeInterval;
-  const auto probe_result = Capture<bool>([this]() -> Result<bool> {
-    BOOST_LEAF_CHECK(this->storage.ProbeDisk());
+  const auto opened = Capture<bool>([this]() -> Result<bool> {
+    BOOST_LEAF_CHECK(this->OpenStorage());
     return true;
   });
-  if (std::holds_alternative<bool>(probe_result)) {
-    this->RunAfterUnlock(std::exchange(this->on_storage_usable, nullptr));
+  if (const auto* error = std::get_if<AnyError>(&opened)) {
+    this->OnStorageFailed(now, *error);
+    return;
+  }
+  ++this->counters.storage_recoveries;
+  LogEvent(
+      LogLevel::kWarning, "storage_recovered",
+      {{"disk", this->disk.value()},
+       {"failed_ms", ToMilliseconds(now - this->storage_retry.failed_at())}});
+  this->storage_retry.OnRecovered(now);
+}
+
+// Schedules the next attempt. There is none if the content of the disk is
+// damaged or lacks what it had: the member must not vote or acknowledge entries
+// then, and a spare takes its place.
+void ControlDriver::Impl::OnStorageFailed(MonotonicTime now,
+                                          const AnyError& error) {
+  ++this->counters.storage_failures;
+  this->storage_retry.OnFailed(now);
+  const bool may_recover = std::holds_alternative<IoError>(error);
+  if (!may_recover) {
+    this->storage_retry.Stop();
   }
+  LogEvent(
+      LogLevel::kError, "storage_unusable",
+      {{"folder", this->settings.data_folder},
+       {"error", ToString(error)},
+       {"failed_ms", ToMilliseconds(now - this->storage_retry.failed_at())},
+       {"tried_again", may_recover}});
 }
 
 void ControlDriver::Impl::ArmTimer(MonotonicTime next_batch_at) {
@@ -234,10 +286,8 @@
     ControlTable& table,
     ControlDriverSettings settings,
     std::function<void()> on_lists_changed) {
-  BOOST_LEAF_AUTO(storage, FileStorage::Open(settings.data_folder));
-  auto impl =
-      std::make_shared<Impl>(pool, table, std::move(settings),
-                             std::move(storage), std::move(on_lists_changed));
+  auto impl = std::make_shared<Impl>(pool, table, std::move(settings),
+                                     std::move(on_lists_changed));
   BOOST_LEAF_CHECK(impl->Prepare());
   return std::unique_ptr<ControlDriver>(new ControlDriver(std::move(impl)));
 }
@@ -289,10 +339,6 @@
       detail::ChangeMembersInput{std::move(change), std::move(done)});
 }
 
-void ControlDriver::SetStorageUsableHandler(std::function<void()> on_usable) {
-  this->impl->on_storage_usable = std::move(on_usable);
-}
-
 void ControlDriver::ConfirmRead(std::function<void(ConfirmReadAnswer)> done) {
   this->impl->Post(detail::ConfirmReadInput{std::move(done)});
 }
@@ -314,8 +360,4 @@
   return this->impl->counters;
 }
 
-const DiskId& ControlDriver::disk() const {
-  return this->impl->disk;
-}
-
 }  // namespace marigold
--- a/src/net/control/control_driver.h
+++ b/src/net/control/control_driver.h
@@ -52,6 +52,9 @@
   std::atomic<std::uint64_t> peer_messages_received = 0;
   // Size of the last snapshot in bytes. Not a count.
   std::atomic<std::uint64_t> snapshot_bytes = 0;
+  // Failures of the disk, and how often it was taken into use again after one.
+  std::atomic<std::uint64_t> storage_failures = 0;
+  std::atomic<std::uint64_t> storage_recoveries = 0;
 };
 
 // The outcome of a command.
@@ -80,10 +83,11 @@
 // thread, unless the driver is destroyed first.
 class ControlDriver {
  public:
-  // Opens the data folder. Fails with `IoError` if it can't be read or written,
-  // and with `ParseError` if its files are damaged. `on_lists_changed` is
-  // called whenever the table's lists or `ControlStatus::has_quorum` have
-  // changed.
+  // Opens the data folder. Fails with `ParseError` if its files are damaged,
+  // and with `IoError` if it can't be opened for a reason that does not pass.
+  // If the disk is full or fails, the driver starts without it and tries it
+  // again, as it does after a failure later on. `on_lists_changed` is called
+  // whenever the table's lists or `ControlStatus::has_quorum` have changed.
   static Result<std::unique_ptr<ControlDriver>> Open(
       WorkerPool& pool,
       ControlTable& table,
@@ -105,10 +109,6 @@
               std::function<void(SubmitAnswer)> done);
   void ChangeMembers(MembershipChange change,
                      std::function<void(ChangeMembersAnswer)> done);
-  // Sets a callback that runs once the disk accepts writes again after a
-  // failure. The replica stays stopped, because only a restart can find out
-  // which data reached the disk. Must be called before `Start`.
-  void SetStorageUsableHandler(std::function<void()> on_usable);
   // Checks whether the table holds every accepted change, and calls `done` with
   // the result.
   void ConfirmRead(std::function<void(ConfirmReadAnswer)> done);
@@ -122,7 +122,6 @@
   // Queries.
 
   const ControlCounters& counters() const;
-  const DiskId& disk() const;
 
   struct Impl;
 
--- a/src/net/control/control_driver_inputs.cc
+++ b/src/net/control/control_driver_inputs.cc
@@ -204,16 +204,14 @@
 }
 
 void ControlDriver::Impl::JoinOrFormGroup(MonotonicTime now) {
-  if (this->formation) {
+  if (this->formation && !this->storage_retry.is_pending()) {
     if (auto first_membership = this->formation->InitialMembership()) {
       auto opened = Capture<bool>([&]() -> Result<bool> {
         BOOST_LEAF_CHECK(this->OpenReplica(std::move(*first_membership)));
         return true;
       });
-      if (std::holds_alternative<AnyError>(opened)) {
-        LogEvent(LogLevel::kError, "open_failed",
-                 {{"folder", this->settings.data_folder}});
-        std::abort();
+      if (const auto* error = std::get_if<AnyError>(&opened)) {
+        this->OnStorageFailed(now, *error);
       }
     }
   }
@@ -246,6 +244,9 @@
   if (this->formation) {
     return true;
   }
+  if (!this->replica) {
+    return false;
+  }
   const Membership& membership = this->replica->membership();
   const bool is_listed_twice =
       std::any_of(membership.members.begin(), membership.members.end(),
@@ -264,9 +265,9 @@
   if (this->MustSendHello()) {
     next_batch_at = std::min(next_batch_at, this->next_hello_at);
   }
-  if (this->replica && this->replica->storage_failed() &&
-      this->on_storage_usable) {
-    next_batch_at = std::min(next_batch_at, this->next_storage_probe_at);
+  if (this->storage_retry.is_pending()) {
+    next_batch_at =
+        std::min(next_batch_at, this->storage_retry.next_attempt_at());
   }
   if (!this->deferred_commands.empty()) {
     next_batch_at =
--- a/src/net/control/control_driver_outputs.cc
+++ b/src/net/control/control_driver_outputs.cc
@@ -45,11 +45,19 @@
 
 void ControlDriver::Impl::ApplyCommitted() {
   for (const CommittedItem& committed : this->replica->TakeCommitted()) {
+    // A replica that was opened again after a failure of the disk delivers
+    // entries that the table already contains.
     if (committed.snapshot) {
-      this->RestoreSnapshot(*committed.snapshot);
+      this->compaction.OnSnapshot(committed.snapshot->data.size());
+      if (committed.snapshot->index > this->applied_index) {
+        this->RestoreSnapshot(*committed.snapshot);
+      }
     }
     if (committed.entry) {
-      this->ApplyEntry(*committed.entry);
+      this->compaction.OnApplied(committed.entry->payload.size());
+      if (committed.entry->index > this->applied_index) {
+        this->ApplyEntry(*committed.entry);
+      }
     }
   }
 }
@@ -63,12 +71,10 @@
     AbortOnUnreadableData("snapshot", snapshot.index, *error);
   }
   this->applied_index = snapshot.index;
-  this->compaction.OnSnapshot(snapshot.data.size());
 }
 
 void ControlDriver::Impl::ApplyEntry(const LogEntry& entry) {
   this->applied_index = entry.index;
-  this->compaction.OnApplied(entry.payload.size());
   EntryOutcome outcome = EntryCommitted();
   if (entry.kind == EntryKind::kCommand) {
     const auto command =
@@ -130,7 +136,10 @@
 }
 
 void ControlDriver::Impl::CompactIfDue() {
-  if (!this->compaction.IsDue() || this->replica->storage_failed()) {
+  // After a failure of the disk, the replica may not have delivered all applied
+  // entries again yet.
+  if (!this->compaction.IsDue() || this->replica->storage_failed() ||
+      this->replica->commit_index() < this->applied_index) {
     return;
   }
   std::string snapshot = this->table.Serialise();
@@ -153,7 +162,6 @@
     const DriverReplica& member = *this->replica;
     status.is_leader = member.role() == ReplicaRole::kLeader;
     status.has_quorum = this->HasCurrentLists(this->clock.Now());
-    status.storage_failed = member.storage_failed();
     status.is_probationary = member.is_boot_unconfirmed();
     status.leader = member.leader();
     status.term = member.term();
@@ -162,6 +170,8 @@
     status.last_index = member.last_index();
     status.snapshot_index = member.snapshot_index();
   }
+  status.storage_failed = this->storage_retry.is_pending() ||
+                          (this->replica && this->replica->storage_failed());
   this->has_quorum = status.has_quorum;
   this->table.Publish(std::move(status));
 }
--- a/src/net/control/counted_storage.h
+++ b/src/net/control/counted_storage.h
@@ -66,7 +66,12 @@
     return this->inner.SaveSnapshot(snapshot);
   }
 
-  Result<void> ProbeDisk() { return this->inner.ProbeDisk(); }
+  // Restores the storage after a failed write. The state has to be loaded
+  // again.
+  Result<void> Repair() {
+    this->loaded_state.reset();
+    return this->inner.Repair();
+  }
 
   Result<void> Sync() {
     const SystemClock clock;
--- a/src/net/control/detail/control_driver_impl.h
+++ b/src/net/control/detail/control_driver_impl.h
@@ -19,6 +19,7 @@
 #include "src/net/control/peer_links.h"
 #include "src/net/control/pending_entries.h"
 #include "src/policy/replication_lag.h"
+#include "src/policy/storage_retry.h"
 #include "src/replication/file_storage.h"
 #include "src/replication/group_formation.h"
 #include "src/replication/replica.h"
@@ -76,11 +77,10 @@
   Impl(WorkerPool& worker_pool,
        ControlTable& control_table,
        ControlDriverSettings driver_settings,
-       FileStorage file_storage,
        std::function<void()> lists_changed_handler);
 
-  // Opens the replica, or begins to form a group. Must be called once, before
-  // the first batch.
+  // Opens the storage for the first time. Must be called once, before the first
+  // batch.
   Result<void> Prepare();
 
   void Post(detail::DriverInput input);
@@ -94,6 +94,9 @@
 
   // The following methods must be called with `mutex` held, except `ArmTimer`.
 
+  // Opens or repairs the storage. Then opens the replica on it, or begins to
+  // form a group.
+  Result<void> OpenStorage();
   Result<void> OpenReplica(Membership first_membership);
   std::vector<detail::DriverInput> TakeInputs();
   void Handle(MonotonicTime now, detail::DriverInput& input);
@@ -121,8 +124,9 @@
   void ApplyEntry(const LogEntry& entry);
   void RestoreSnapshot(const StateSnapshot& snapshot);
   void AnswerPendingReads();
-  // Calls `on_storage_usable` once a failed disk accepts writes again.
-  void ProbeFailedStorage(MonotonicTime now);
+  // Tries to take a failed disk into use again if an attempt is due.
+  void RecoverStorage(MonotonicTime now);
+  void OnStorageFailed(MonotonicTime now, const AnyError& error);
   void FailStaleTermEntries();
   void CompactIfDue();
   void PublishStatus();
@@ -152,11 +156,14 @@
   std::atomic<bool> is_stopping = false;
 
   RankedMutex<LockRank::kControlDriver> mutex;
-  Storage storage;
+  // Absent until the data folder has been opened.
+  std::optional<Storage> storage;
+  StorageRetry storage_retry;
+  // Empty until the data folder has been opened.
   DiskId disk;
   SeededRandom random;
   CompactionSchedule compaction;
-  // Absent until the first membership is known.
+  // Absent until the storage is open and the first membership is known.
   std::optional<DriverReplica> replica;
   std::optional<GroupFormation> formation;
   // The listening addresses of the members that have sent messages to this one.
@@ -174,8 +181,6 @@
   LogIndex reported_lists_index;
   bool has_quorum = false;
   bool reported_has_quorum = false;
-  std::function<void()> on_storage_usable;
-  MonotonicTime next_storage_probe_at;
   MonotonicTime next_hello_at;
   std::set<Endpoint> hello_targets;
 
--- a/src/programs/control_process.cc
+++ b/src/programs/control_process.cc
@@ -2,6 +2,7 @@
 
 #include <unistd.h>
 
+#include <csignal>
 #include <utility>
 
 #include "src/core/log.h"
@@ -30,6 +31,9 @@
 
 Result<void> ControlProcess::Open(HttpHandler handler) {
   SetLogDescriptor(STDOUT_FILENO);
+  // A write beyond the limit on the size of files then fails like one to a full
+  // disk, and does not end the process.
+  std::signal(SIGXFSZ, SIG_IGN);
   // The table outlives the worker pool, which the hub must not.
   this->listing.OnChanged([weak = std::weak_ptr(this->hub)] {
     if (const auto subscribers = weak.lock()) {
@@ -74,13 +78,7 @@
       });
 }
 
-int ControlProcess::Serve() {
-  this->driver->SetStorageUsableHandler([this] {
-    LogEvent(LogLevel::kWarning, "restart_wanted",
-             {{"reason", "the disk accepts writes again after a failure"}});
-    this->exit_code = 1;
-    this->pool.Finish();
-  });
+void ControlProcess::Serve() {
   this->hub->Start();
   this->driver->Start();
   this->sharing->Start();
@@ -94,13 +92,11 @@
   LogEvent(LogLevel::kInfo, "listening",
            {{"address", ToString(this->settings.driver.address)},
             {"http", ToString(this->settings.http)},
-            {"vm", this->settings.driver.vm.value()},
-            {"disk", this->driver->disk().value()}});
+            {"vm", this->settings.driver.vm.value()}});
   this->pool.WaitUntilFinished();
   // Stops all threads, because their handlers use members of this object.
   this->pool.Stop();
   LogEvent(LogLevel::kInfo, "stopped");
-  return this->exit_code;
 }
 
 HttpResponse ControlProcess::AnswerHttp(const HttpRequest& request) const {
--- a/src/programs/control_process.h
+++ b/src/programs/control_process.h
@@ -1,7 +1,6 @@
 #ifndef SRC_PROGRAMS_CONTROL_PROCESS_H_
 #define SRC_PROGRAMS_CONTROL_PROCESS_H_
 
-#include <atomic>
 #include <cstdint>
 #include <memory>
 
@@ -38,10 +37,8 @@
   // with `IoError` or `ParseError`. `handler` answers the HTTP requests.
   Result<void> Open(HttpHandler handler);
 
-  // Serves until a signal arrives, or until the disk accepts writes again after
-  // a failure. Returns the exit code, which is 1 if the process should be
-  // restarted.
-  int Serve();
+  // Serves until a signal arrives.
+  void Serve();
 
   // Answers `GET /state`, `/metrics` and `/health`.
   HttpResponse AnswerHttp(const HttpRequest& request) const;
@@ -67,8 +64,6 @@
   std::shared_ptr<AggregatorSharing> sharing;
   std::unique_ptr<ControlServer> server;
   std::unique_ptr<HttpServer> http;
-  // 1 if the process should be restarted.
-  std::atomic<int> exit_code = 0;
 };
 
 }  // namespace marigold
--- a/src/programs/marigold_control.cc
+++ b/src/programs/marigold_control.cc
@@ -127,7 +127,8 @@
     LogEvent(LogLevel::kError, "start_failed", {{"error", ToString(*error)}});
     return 1;
   }
-  return process.Serve();
+  process.Serve();
+  return 0;
 }
 
 }  // namespace
--- a/src/replication/detail/file_io.cc
+++ b/src/replication/detail/file_io.cc
@@ -186,4 +186,12 @@
   return SystemCallError("stat", path);
 }
 
+void DropCachedPages(const std::string& path) {
+  const int fd = ::open(path.c_str(), O_RDONLY | O_CLOEXEC);
+  const File file(fd, path);
+  if (file.is_open()) {
+    ::posix_fadvise(fd, 0, 0, POSIX_FADV_DONTNEED);
+  }
+}
+
 }  // namespace marigold::detail
--- a/src/replication/detail/file_io.h
+++ b/src/replication/detail/file_io.h
@@ -59,6 +59,10 @@
                          const std::string& name,
                          std::string_view bytes);
 Result<bool> FileExists(const std::string& path);
+// Makes the next read of the file come from the disk, where the system allows
+// it. After a failed sync, the memory of the system may hold what the disk does
+// not.
+void DropCachedPages(const std::string& path);
 
 // The suffix of temporary files, which a crash may leave behind.
 inline constexpr std::string_view kTemporarySuffix = ".tmp";
--- a/src/replication/file_storage.cc
+++ b/src/replication/file_storage.cc
@@ -3,6 +3,7 @@
 #include <fcntl.h>
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <utility>
 
@@ -12,10 +13,6 @@
 
 namespace {
 
-// This is larger than a usual entry, so that a disk with little space left is
-// not taken for a working one.
-constexpr std::size_t kProbeBytes = 256 * 1024;
-
 // Returns the error of every write that follows a failed one.
 boost::leaf::error_id EarlierFailureError(const std::string& path) {
   return boost::leaf::new_error(
@@ -24,6 +21,22 @@
 
 }  // namespace
 
+bool MayPass(const IoError& error) {
+  switch (error.error_number) {
+    case ENOSPC:
+    case EDQUOT:
+    case EFBIG:
+    case EIO:
+    case EROFS:
+    case ENFILE:
+    case EMFILE:
+    case ENOMEM:
+      return true;
+    default:
+      return false;
+  }
+}
+
 FileStorage::FileStorage(std::string folder_path,
                          FileStorageSettings storage_settings)
     : path(std::move(folder_path)), settings(storage_settings) {}
@@ -87,6 +100,7 @@
       this->tail, detail::File::Open(this->PathOf(segment),
                                      O_WRONLY | O_CREAT | O_TRUNC | O_APPEND));
   this->segments.push_back(segment);
+  this->synced_tail_bytes = 0;
   this->folder_needs_sync = true;
   this->tail_needs_sync = true;
   return this->tail.Write(detail::kSegmentHeader);
@@ -110,11 +124,16 @@
   BOOST_LEAF_CHECK(this->folder.Sync());
   this->segments.pop_back();
   this->tail_needs_sync = false;
+  this->synced_tail_bytes =
+      this->segments.empty() ? 0 : this->segments.back().size;
   return this->OpenLastSegment();
 }
 
 Result<void> FileStorage::TruncateFrom(LogIndex index) {
   return this->Write([&]() -> Result<void> {
+    // The leader has replaced the entries from `index` on, so nobody relies on
+    // them any more.
+    this->synced_index = std::min(this->synced_index, Previous(index));
     while (!this->segments.empty() &&
            index <= this->segments.back().first_index) {
       BOOST_LEAF_CHECK(this->RemoveLastSegment());
@@ -127,15 +146,20 @@
         index.value() - segment.first_index.value();
     segment.size = segment.entry_offsets[kept_entries];
     segment.entry_offsets.resize(kept_entries);
+    this->synced_tail_bytes = std::min(this->synced_tail_bytes, segment.size);
     BOOST_LEAF_CHECK(this->tail.Truncate(segment.size));
-    return this->tail.SyncData();
+    BOOST_LEAF_CHECK(this->tail.SyncData());
+    this->synced_tail_bytes = segment.size;
+    return {};
   });
 }
 
 Result<void> FileStorage::SaveHardState(const HardState& hard_state) {
-  return this->Write([&] {
-    return detail::ReplaceFile(this->folder, "hard_state",
-                               detail::EncodeHardState(hard_state));
+  return this->Write([&]() -> Result<void> {
+    BOOST_LEAF_CHECK(detail::ReplaceFile(this->folder, "hard_state",
+                                         detail::EncodeHardState(hard_state)));
+    this->synced_hard_state = hard_state;
+    return {};
   });
 }
 
@@ -143,6 +167,7 @@
   return this->Write([&]() -> Result<void> {
     BOOST_LEAF_CHECK(detail::ReplaceFile(this->folder, "snapshot",
                                          detail::EncodeSnapshot(snapshot)));
+    this->synced_index = std::max(this->synced_index, snapshot.index);
     // If a crash leaves some of these segments behind, the next `Load` removes
     // them.
     while (!this->segments.empty() &&
@@ -154,22 +179,45 @@
     }
     if (this->segments.empty()) {
       this->tail_needs_sync = false;
+      this->synced_tail_bytes = 0;
       this->tail = detail::File();
     }
     return {};
   });
 }
 
-Result<void> FileStorage::ProbeDisk() {
-  const std::string probe_path =
-      this->PathOf("probe" + std::string(detail::kTemporarySuffix));
-  {
-    BOOST_LEAF_AUTO(
-        file, detail::File::Open(probe_path, O_WRONLY | O_CREAT | O_TRUNC));
-    BOOST_LEAF_CHECK(file.Write(std::string(kProbeBytes, '\0')));
-    BOOST_LEAF_CHECK(file.Sync());
+Result<void> FileStorage::Repair() {
+  if (!this->has_failed) {
+    return {};
+  }
+  BOOST_LEAF_CHECK(this->CutUnsyncedTail());
+  BOOST_LEAF_AUTO(names, detail::ListFolder(this->path));
+  for (const std::string& name : names) {
+    detail::DropCachedPages(this->PathOf(name));
+  }
+  this->has_failed = false;
+  return {};
+}
+
+// Shortens the last segment to its synced size. This also writes the block in
+// which the synced part ends again.
+Result<void> FileStorage::CutUnsyncedTail() {
+  this->tail = detail::File();
+  if (this->segments.empty()) {
+    return {};
+  }
+  const std::string tail_path = this->PathOf(this->segments.back());
+  BOOST_LEAF_AUTO(exists, detail::FileExists(tail_path));
+  if (!exists) {
+    return {};
   }
-  return detail::RemoveFile(probe_path);
+  if (this->synced_tail_bytes == 0) {
+    BOOST_LEAF_CHECK(detail::RemoveFile(tail_path));
+    return this->folder.Sync();
+  }
+  BOOST_LEAF_AUTO(file, detail::File::Open(tail_path, O_WRONLY));
+  BOOST_LEAF_CHECK(file.Truncate(this->synced_tail_bytes));
+  return file.Sync();
 }
 
 Result<void> FileStorage::Sync() {
@@ -178,6 +226,12 @@
       BOOST_LEAF_CHECK(this->tail.SyncData());
     }
     this->tail_needs_sync = false;
+    if (!this->segments.empty()) {
+      const Segment& segment = this->segments.back();
+      this->synced_tail_bytes = segment.size;
+      this->synced_index =
+          std::max(this->synced_index, Previous(segment.next_index()));
+    }
     if (this->folder_needs_sync) {
       BOOST_LEAF_CHECK(this->folder.Sync());
     }
--- a/src/replication/file_storage.h
+++ b/src/replication/file_storage.h
@@ -26,8 +26,8 @@
 //   snapshot                  replaced as a whole
 //   log-00000000000000000001  entries from that index on
 //
-// After a write has failed, all later ones fail too, since the state of the
-// disk is then unknown.
+// After a write has failed, all later ones fail too until `Repair` has
+// succeeded, since the state of the disk is then unknown.
 class FileStorage {
  public:
   // Locks the folder, which is created if it is missing, and writes a disk id
@@ -42,8 +42,9 @@
   // Reads the folder. Removes an incomplete or damaged last record, which a
   // crash during a write leaves behind. The entries count as not synced, since
   // an earlier process may have ended before it synced them. Fails with
-  // `ParseError`, whose field is the path of the file, on any other damage and
-  // on any gap in the log.
+  // `ParseError`, whose field is the path of the file, on any other damage, on
+  // any gap in the log, and if the folder lacks something that this object has
+  // synced.
   Result<StoredState> Load();
   // Appends the entries without a sync.
   Result<void> Append(const std::vector<LogEntry>& entries);
@@ -55,9 +56,12 @@
   Result<void> SaveSnapshot(const StateSnapshot& snapshot);
   Result<void> Sync();
 
-  // Writes, syncs and removes a small file in order to find out whether a disk
-  // that has failed accepts writes again.
-  Result<void> ProbeDisk();
+  // Restores a storage after a failed write, so that `Load` can be called
+  // again. Removes everything that was not synced: what a failed write or sync
+  // has left of it is unknown, and it was never promised to anyone. Does
+  // nothing if no write has failed. Fails with `IoError` if the disk still
+  // refuses this, and may then be called again.
+  Result<void> Repair();
 
   // Queries.
 
@@ -90,6 +94,9 @@
   Result<std::vector<std::string>> RemoveTemporaryFiles();
   Result<void> StartSegment(LogIndex first_index);
   Result<void> RemoveLastSegment();
+  Result<void> CutUnsyncedTail();
+  // Fails with `ParseError` if the folder lacks something that was synced.
+  Result<void> CheckSynced(const StoredState& stored) const;
   Result<void> OpenLastSegment();
 
   // Runs `write` unless an earlier write has failed, and records a failure.
@@ -105,12 +112,22 @@
   // The last segment, open for writing. It is closed if there is no segment.
   detail::File tail;
   bool tail_needs_sync = false;
+  // The size of the last segment that is known to be durable.
+  std::uint64_t synced_tail_bytes = 0;
+  // What has been made durable: the end of the log or of the snapshot, and the
+  // hard state.
+  LogIndex synced_index;
+  HardState synced_hard_state;
   bool folder_needs_sync = false;
   bool has_failed = false;
 };
 
 static_assert(ReplicaStorage<FileStorage>);
 
+// True for errors of a disk that may pass without a change of settings: it is
+// full, or the device failed.
+bool MayPass(const IoError& error);
+
 }  // namespace marigold
 
 #endif  // SRC_REPLICATION_FILE_STORAGE_H_
--- a/src/replication/file_storage_load.cc
+++ b/src/replication/file_storage_load.cc
@@ -109,11 +109,40 @@
                       detail::DecodeSnapshot(file_path, bytes));
   }
   BOOST_LEAF_CHECK(this->LoadLog(stored));
+  BOOST_LEAF_CHECK(this->CheckSynced(stored));
   this->tail_needs_sync = this->tail.is_open();
   this->folder_needs_sync = true;
+  this->synced_tail_bytes =
+      this->segments.empty() ? 0 : this->segments.back().size;
   return stored;
 }
 
+Result<void> FileStorage::CheckSynced(const StoredState& stored) const {
+  const LogIndex snapshot_index =
+      stored.snapshot ? stored.snapshot->index : LogIndex();
+  const LogIndex last_index =
+      stored.entries.empty() ? snapshot_index : stored.entries.back().index;
+  if (last_index < this->synced_index) {
+    return DamageError(
+        this->path, 0,
+        fmt::format("entries up to index {}, which were synced, not {}",
+                    this->synced_index.value(), last_index.value()));
+  }
+  const HardState& held = stored.hard_state;
+  const HardState& synced = this->synced_hard_state;
+  const bool has_vote =
+      held.term > synced.term ||
+      (held.term == synced.term &&
+       (!synced.voted_for || held.voted_for == synced.voted_for));
+  if (!has_vote || held.boot_count < synced.boot_count) {
+    return DamageError(
+        this->PathOf("hard_state"), 0,
+        fmt::format("the state of term {} and boot {}, which was synced",
+                    synced.term.value(), synced.boot_count));
+  }
+  return {};
+}
+
 Result<std::vector<std::string>> FileStorage::RemoveTemporaryFiles() {
   BOOST_LEAF_AUTO(names, detail::ListFolder(this->path));
   for (const std::string& name : names) {
--- a/src/replication/storage.h
+++ b/src/replication/storage.h
@@ -20,7 +20,8 @@
 };
 
 // The disk of a replica. A write may be lost until `Sync` has succeeded. After
-// any failure, the replica writes nothing more.
+// any failure, the replica writes nothing more. The storage has to be repaired
+// and another replica opened on it.
 template <class T>
 concept ReplicaStorage = requires(T& storage,
                                   const std::vector<LogEntry>& entries,
