Test a disk that hangs and an entry VM that starts during a freeze

control_driver_test: a member whose write hangs reports no quorum within 2 s; with the status taken as it was published, it would report one for as long as the write hangs. What a loss of power leaves after each full disk can be read. The tests share the functions that wait and that end the faults.

--- a/tests/control_client_test.cc
+++ b/tests/control_client_test.cc
@@ -15,6 +15,7 @@
 #include "src/core/clock.h"
 #include "src/net/control/framed_server.h"
 #include "src/wire/control_messages.h"
+#include "tests/await.h"
 #include "tests/control_rows.h"
 #include "tests/row_indices.h"
 
@@ -22,9 +23,6 @@
 
 namespace {
 
-constexpr Duration kPollInterval = std::chrono::milliseconds(2);
-constexpr Duration kWaitLimit = std::chrono::seconds(10);
-
 // Criterion runs tests concurrently, each in its own process, so the address
 // depends on the process id.
 Endpoint Address(int number) {
@@ -206,25 +204,6 @@
   return settings;
 }
 
-// Polls `condition`. Returns true as soon as it holds, or false after
-// `timeout`.
-bool Await(WorkerPool& pool,
-           const std::function<bool()>& condition,
-           Duration timeout = kWaitLimit) {
-  const SystemClock clock;
-  const MonotonicTime deadline = clock.Now() + timeout;
-  while (!condition()) {
-    if (clock.Now() >= deadline) {
-      return false;
-    }
-    std::promise<void> pause_ended;
-    const TimerHandle timer =
-        pool.After(kPollInterval, [&] { pause_ended.set_value(); });
-    pause_ended.get_future().wait();
-  }
-  return true;
-}
-
 std::string ToText(const SubmitOutcome& outcome) {
   if (const auto* refusal = std::get_if<Refusal>(&outcome)) {
     return fmt::format("{} {}", ToString(refusal->execution),
--- a/tests/control_driver_test.cc
+++ b/tests/control_driver_test.cc
@@ -12,10 +12,10 @@
 #include <string>
 #include <vector>
 
-#include "src/core/clock.h"
 #include "src/core/random.h"
 #include "src/net/control/control_server.h"
 #include "src/net/control/subscriber_hub.h"
+#include "tests/await.h"
 #include "tests/control_rows.h"
 #include "tests/faulty_disk.h"
 #include "tests/row_indices.h"
@@ -26,12 +26,12 @@
 namespace {
 
 constexpr int kControlVms = 3;
-constexpr Duration kPollInterval = std::chrono::milliseconds(5);
-constexpr Duration kWaitLimit = std::chrono::seconds(10);
 
 // The users require that a change is acknowledged within 5 s.
 constexpr Duration kAcknowledgeLimit = std::chrono::seconds(5);
 
+constexpr Duration kAnswerLimit = std::chrono::seconds(1);
+
 // Criterion runs tests concurrently, each in its own process, so the address
 // depends on the process id.
 Endpoint Address(int number) {
@@ -79,12 +79,15 @@
 
   ControlStatus Status() const { return this->table.Status(); }
 
-  // Submits a command and returns its outcome.
-  SubmitAnswer Submit(const ControlCommand& command) {
+  // Submits a command. Returns true if it was accepted, and false if it was
+  // refused or, like an operator, if there was no answer in time.
+  bool Submit(const ControlCommand& command) {
     auto answer = std::make_shared<std::promise<SubmitAnswer>>();
     this->driver->Submit(
         command, [answer](SubmitAnswer result) { answer->set_value(result); });
-    return answer->get_future().get();
+    auto future = answer->get_future();
+    return future.wait_for(kAnswerLimit) == std::future_status::ready &&
+           std::holds_alternative<ControlOutcome>(future.get().outcome);
   }
 
   WorkerPool& pool;
@@ -116,18 +119,7 @@
   // Waits until `condition` holds. Returns false after `limit`.
   bool Await(const std::function<bool()>& condition,
              Duration limit = kWaitLimit) {
-    const SystemClock clock;
-    const MonotonicTime deadline = clock.Now() + limit;
-    while (!condition()) {
-      if (clock.Now() >= deadline) {
-        return false;
-      }
-      std::promise<void> pause_ended;
-      const TimerHandle timer =
-          this->pool.After(kPollInterval, [&] { pause_ended.set_value(); });
-      pause_ended.get_future().wait();
-    }
-    return true;
+    return marigold::Await(this->pool, condition, limit);
   }
 
   // Makes a change at whichever VM accepts it, like an operator.
@@ -140,8 +132,7 @@
     return this->Await(
         [&] {
           for (const auto& vm : this->vms) {
-            if (std::holds_alternative<ControlOutcome>(
-                    vm->Submit(command).outcome)) {
+            if (vm->Submit(command)) {
               return true;
             }
           }
@@ -184,14 +175,6 @@
     {"syncs fail", [](FaultyDisk& disk) { disk.sync_error = EIO; }},
 };
 
-void EndFaults() {
-  FaultyDisk& disk = FaultyDisk::Get();
-  disk.free_bytes = FaultyDisk::kUnlimited;
-  disk.create_error = 0;
-  disk.write_error = 0;
-  disk.sync_error = 0;
-}
-
 }  // namespace
 
 ParameterizedTestParameters(ControlDriver, FailedDiskIsUsedAgain) {
@@ -219,7 +202,7 @@
     }),
               "%s: expected no quorum with a failed disk, actual quorum %d",
               row.scenario, faulty.Status().has_quorum);
-    EndFaults();
+    FaultyDisk::Get().EndFaults();
     cr_assert(group.Await([&] {
       return group.HasCaughtUp(0) && !faulty.Status().storage_failed;
     }),
@@ -252,13 +235,33 @@
             "%s: expected attempts to write", row.scenario);
   cr_assert(group.vms[0]->Status().storage_failed,
             "%s: expected a failed disk in the status", row.scenario);
-  EndFaults();
+  FaultyDisk::Get().EndFaults();
   cr_assert(group.Change(), "%s: expected a group that accepts a change",
             row.scenario);
   cr_assert(group.Await([&] { return group.HasCaughtUp(0); }),
             "%s: expected a member in contact with a quorum", row.scenario);
 }
 
+// Guards against entry VMs that keep old routes, because the control VM that
+// they follow claims a quorum while a write to its disk hangs.
+Test(ControlDriver, HungDiskMeansNoQuorum) {
+  Group group;
+  group.Start();
+  cr_assert(group.Change(), "expected a first change");
+  cr_assert(group.Await([&] { return group.HasCaughtUp(0); }),
+            "expected a member in contact with a quorum");
+  FaultyDisk::Get().hangs = true;
+  cr_assert(group.Change(), "expected a change while a disk hangs");
+  // Entry VMs have the change within 3 s, of which 1 s is left to go elsewhere.
+  const bool has_noticed =
+      group.Await([&] { return !group.vms[0]->Status().has_quorum; },
+                  std::chrono::seconds(2));
+  FaultyDisk::Get().EndFaults();
+  cr_assert(has_noticed, "expected no quorum after 2 s, actual quorum");
+  cr_assert(group.Await([&] { return group.HasCaughtUp(0); }),
+            "expected a member that has caught up");
+}
+
 // Guards against a disk that is full exactly while it compacts its log, or
 // again at the attempt to use it, and then lacks entries or can't be read any
 // more.
@@ -277,12 +280,19 @@
       cr_assert(group.Change(), "round %d: expected a change with room for %ld",
                 round, static_cast<long>(room));
     }
-    EndFaults();
+    FaultyDisk::Get().EndFaults();
     cr_assert(group.Await([&] { return group.HasCaughtUp(0); }),
               "round %d, room for %ld bytes: expected a member that has caught "
               "up, actual quorum %d, failed %d",
               round, static_cast<long>(room), group.vms[0]->Status().has_quorum,
               group.vms[0]->Status().storage_failed);
+    // What a loss of power leaves can be read.
+    const TemporaryFolder copy;
+    FaultyDisk::Get().CopyDurable(copy.path);
+    const auto loaded = LoadFolder(copy.path);
+    const auto* error = std::get_if<AnyError>(&loaded);
+    cr_assert(error == nullptr, "round %d: expected a sound folder, actual %s",
+              round, DescribeOutcome(*error).c_str());
   }
   cr_assert(group.vms[0]->driver->counters().storage_recoveries > 0,
             "expected a recovery");
@@ -304,7 +314,7 @@
   const std::uint64_t terms =
       group.vms[1]->Status().term.value() - term.value();
   cr_assert(terms <= 4, "expected at most 4 elections, actual %lu", terms);
-  EndFaults();
+  FaultyDisk::Get().EndFaults();
   cr_assert(group.Await([&] { return group.HasCaughtUp(0); }),
             "expected a member that has caught up");
 }
@@ -321,7 +331,7 @@
     FaultyDisk::Get().free_bytes = 0;
     cr_assert(group.Change(), "expected a change while disk %d is full",
               number);
-    EndFaults();
+    FaultyDisk::Get().EndFaults();
     cr_assert(group.Change(), "expected a change after disk %d was full",
               number);
     for (int member = 0; member < kControlVms; ++member) {
--- a/tests/faulty_disk.h
+++ b/tests/faulty_disk.h
@@ -48,10 +48,22 @@
   // For files and names that do not exist yet.
   std::atomic<int> create_error = 0;
   std::atomic<int> write_error = 0;
+  // Writes wait until this is false.
+  std::atomic<bool> hangs = false;
   // Writes beyond this fail with `ENOSPC` after a part of their bytes.
   std::atomic<std::int64_t> free_bytes = kUnlimited;
   std::atomic<int> refused_calls = 0;
 
+  // The disk works again and has room.
+  void EndFaults() {
+    this->sync_error = 0;
+    this->create_error = 0;
+    this->write_error = 0;
+    this->hangs = false;
+    this->hangs.notify_all();
+    this->free_bytes = kUnlimited;
+  }
+
   // Copies what the disk holds after a loss of power to `target`: the content
   // that the last successful sync of each file covered. Bytes whose sync failed
   // are lost, although the system reads them back and a later sync succeeds.
@@ -162,9 +174,10 @@
 
 ssize_t write(int fd, const void* bytes, size_t size) {
   auto& disk = marigold::FaultyDisk::Get();
-  const bool may_fail = disk.write_error != 0 ||
+  const bool may_fail = disk.write_error != 0 || disk.hangs ||
                         disk.free_bytes != marigold::FaultyDisk::kUnlimited;
   if (may_fail && disk.Covers(marigold::detail::PathOfDescriptor(fd))) {
+    disk.hangs.wait(true);
     if (const int error = disk.write_error) {
       return disk.Refuse(error);
     }
--- a/tests/process/platform_freeze.sh
+++ b/tests/process/platform_freeze.sh
@@ -59,6 +59,11 @@
     sleep 0.5
     put_next_config $others
     acknowledged_at=$(now_ms)
+    if [ $frozen = 3 ] && [ $round = 1 ]; then
+      entry_vms=$((entry_vms + 1))
+      start_entry $entry_vms
+      within $contact_ms "an entry VM that starts during the freeze is ready" is_ready $entry_vms
+    fi
     sleep_until_ms $((frozen_at + contact_ms))
     sleep_until_ms $((acknowledged_at + apply_ms))
     expect "all entry VMs serve version $version while c$frozen is frozen" "" "$(behind)"
--- a/tests/storage_repair_test.cc
+++ b/tests/storage_repair_test.cc
@@ -36,14 +36,6 @@
   FaultyDisk::Get().create_error = ENOSPC;
 }
 
-void EndFaults() {
-  FaultyDisk& disk = FaultyDisk::Get();
-  disk.free_bytes = FaultyDisk::kUnlimited;
-  disk.write_error = 0;
-  disk.sync_error = 0;
-  disk.create_error = 0;
-}
-
 Result<void> AppendAndSync(FileStorage& storage, std::uint64_t index) {
   BOOST_LEAF_CHECK(storage.Append({EntryAt(index)}));
   return storage.Sync();
@@ -139,7 +131,7 @@
   row.begin_fault();
   const auto failure = ErrorOf([&] { return row.write(storage); });
   const auto refused = ErrorOf([&] { return AppendAndSync(storage, 9); });
-  EndFaults();
+  FaultyDisk::Get().EndFaults();
   cr_assert(failure && refused, "%s: expected failures, actual %d, %d",
             row.scenario, failure.has_value(), refused.has_value());
 
@@ -200,7 +192,7 @@
   FileStorage storage = OpenWithEntries(folder.path);
   FailWrites();
   cr_assert(ErrorOf([&] { return AppendAndSync(storage, 4); }).has_value());
-  EndFaults();
+  FaultyDisk::Get().EndFaults();
   cr_assert(static_cast<bool>(storage.Repair()));
   fs::resize_file(folder.path + "/" + SegmentName(1),
                   fs::file_size(folder.path + "/" + SegmentName(1)) - 10);
