--- a/src/net/control/detail/control_driver_impl.h
+++ b/src/net/control/detail/control_driver_impl.h
@@ -79,8 +79,8 @@
        ControlDriverSettings driver_settings,
        std::function<void()> lists_changed_handler);
 
-  // Opens the storage for the first time. Must be called once, before the first
-  // batch.
+  // Prepares the connections to the peers and opens the storage. Must be called
+  // once, before the first batch.
   Result<void> Prepare();
 
   void Post(detail::DriverInput input);
@@ -94,9 +94,13 @@
 
   // The following methods must be called with `mutex` held, except `ArmTimer`.
 
+  // Opens the storage for the first time. Fails unless the error may pass.
+  Result<void> OpenStorageAtStart();
   // Opens or repairs the storage. Then opens the replica on it, or begins to
   // form a group.
   Result<void> OpenStorage();
+  // Returns the error of `OpenStorage`, or nothing if it succeeds.
+  std::optional<AnyError> TryOpenStorage();
   Result<void> OpenReplica(Membership first_membership);
   std::vector<detail::DriverInput> TakeInputs();
   void Handle(MonotonicTime now, detail::DriverInput& input);
--- a/src/replication/detail/file_io.cc
+++ b/src/replication/detail/file_io.cc
@@ -150,7 +150,12 @@
   const std::string parent =
       std::filesystem::absolute(path).lexically_normal().parent_path();
   BOOST_LEAF_AUTO(folder, File::Open(parent, O_RDONLY | O_DIRECTORY));
-  return folder.Sync();
+  Result<void> synced = folder.Sync();
+  if (!synced) {
+    // Otherwise the next call would take the folder for a durable one.
+    ::rmdir(path.c_str());
+  }
+  return synced;
 }
 
 Result<void> RemoveFile(const std::string& path) {
--- a/tests/peer_links_test.cc
+++ b/tests/peer_links_test.cc
@@ -1,6 +1,5 @@
 #include "src/net/control/peer_links.h"
 
-#include <arpa/inet.h>
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
 #include <sys/socket.h>
@@ -15,6 +14,7 @@
 
 #include "src/net/control/framed_server.h"
 #include "tests/row_indices.h"
+#include "tests/silent_listener.h"
 
 namespace marigold {
 
@@ -26,47 +26,6 @@
 constexpr auto kDownTime = std::chrono::milliseconds(1200);
 constexpr auto kWaitLimit = std::chrono::milliseconds(1500);
 
-sockaddr_in SocketAddressOf(const Endpoint& endpoint) {
-  sockaddr_in socket_address{};
-  socket_address.sin_family = AF_INET;
-  socket_address.sin_port = htons(endpoint.port);
-  inet_pton(AF_INET, endpoint.address.c_str(), &socket_address.sin_addr);
-  return socket_address;
-}
-
-// A listener whose accept queue is full, so that connects get no answer, as
-// from a VM without power.
-class SilentListener {
- public:
-  explicit SilentListener(const Endpoint& endpoint) {
-    const sockaddr_in socket_address = SocketAddressOf(endpoint);
-    const auto* address = reinterpret_cast<const sockaddr*>(&socket_address);
-    this->listener = socket(AF_INET, SOCK_STREAM, 0);
-    const int on = 1;
-    setsockopt(this->listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-    bind(this->listener, address, sizeof(socket_address));
-    listen(this->listener, 0);
-    for (int i = 0; i < kBacklogFillers; ++i) {
-      this->backlog_fillers.push_back(
-          socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
-      (void)connect(this->backlog_fillers.back(), address,
-                    sizeof(socket_address));
-    }
-  }
-  ~SilentListener() {
-    for (const int filler : this->backlog_fillers) {
-      close(filler);
-    }
-    close(this->listener);
-  }
-
- private:
-  static constexpr int kBacklogFillers = 4;
-
-  int listener;
-  std::vector<int> backlog_fillers;
-};
-
 struct DownRow {
   const char* scenario;
   const char* address;
