--- a/src/net/control/control_driver_outputs.cc
+++ b/src/net/control/control_driver_outputs.cc
@@ -161,7 +161,10 @@
   if (this->replica) {
     const DriverReplica& member = *this->replica;
     status.is_leader = member.role() == ReplicaRole::kLeader;
-    status.has_quorum = this->HasCurrentLists(this->clock.Now());
+    const MonotonicTime now = this->clock.Now();
+    this->lag.OnApplied(now, this->applied_index);
+    this->lag.OnReported(now, member.leader_commit_index());
+    status.has_quorum = this->HasCurrentLists(now);
     status.is_probationary = member.is_boot_unconfirmed();
     status.leader = member.leader();
     status.term = member.term();
@@ -178,10 +181,8 @@
 
 // True if the table holds what the group has committed, but for the last
 // moments. Entry VMs follow only such a control VM.
-bool ControlDriver::Impl::HasCurrentLists(MonotonicTime now) {
+bool ControlDriver::Impl::HasCurrentLists(MonotonicTime now) const {
   const DriverReplica& member = *this->replica;
-  this->lag.OnApplied(now, this->applied_index);
-  this->lag.OnReported(now, member.leader_commit_index());
   // A member whose disk has failed hears its leader but applies nothing.
   if (member.storage_failed()) {
     return false;
--- a/src/net/control/detail/control_driver_impl.h
+++ b/src/net/control/detail/control_driver_impl.h
@@ -134,7 +134,7 @@
   void FailStaleTermEntries();
   void CompactIfDue();
   void PublishStatus();
-  bool HasCurrentLists(MonotonicTime now);
+  bool HasCurrentLists(MonotonicTime now) const;
   void ReportListsChanged();
   // Runs `call` at the end of the current batch, after `mutex` is released.
   void RunAfterUnlock(std::function<void()> call);
@@ -181,6 +181,7 @@
   std::vector<std::function<void()>> calls_after_unlock;
   std::function<void()> on_drained;
   LogIndex applied_index;
+  // What the table lacks of what the leader reports as committed.
   ReplicationLag lag{clock.Now()};
   LogIndex reported_lists_index;
   bool has_quorum = false;
--- a/src/net/control/list_stream.cc
+++ b/src/net/control/list_stream.cc
@@ -194,7 +194,7 @@
     this->lag.OnApplied(now, this->table.index());
     this->lag.OnReported(now, heartbeat.index);
     if (this->lag.IsLagging(now)) {
-      this->Abandon("control_behind");
+      this->LeaveLaggingControl();
     } else if (this->choice.HasLocalAlternative(now, this->current_control)) {
       LogEvent(LogLevel::kInfo, "control_nearer",
                {{"left", ToString(this->current_control)}});
@@ -212,9 +212,9 @@
   this->on_progress();
 }
 
-void ListStream::Abandon(std::string_view event) {
+void ListStream::LeaveLaggingControl() {
   const MonotonicTime now = this->clock.Now();
-  LogEvent(LogLevel::kWarning, event,
+  LogEvent(LogLevel::kWarning, "control_behind",
            {{"control", ToString(this->current_control)},
             {"index", this->table.index().value()},
             {"age_ms", ToMilliseconds(now - this->lists_confirmed_at())}});
--- a/src/net/control/list_stream.h
+++ b/src/net/control/list_stream.h
@@ -5,7 +5,6 @@
 #include <memory>
 #include <optional>
 #include <string>
-#include <string_view>
 
 #include "src/core/clock.h"
 #include "src/net/control/control_client.h"
@@ -81,7 +80,7 @@
   void SendHeartbeat();
   void ArmHeartbeat();
   // Closes the stream and counts it as a failure of its control VM.
-  void Abandon(std::string_view event);
+  void LeaveLaggingControl();
   void LogListsAge();
 
   WorkerPool& pool;
--- a/src/replication/detail/follower.cc
+++ b/src/replication/detail/follower.cc
@@ -59,14 +59,14 @@
 void Follower::OnAppend(ReplicaState& state,
                         const ReplicaMessage& message,
                         const AppendRequest& request) {
-  state.leader_commit_index =
-      std::max(state.leader_commit_index, request.commit_index);
   if (!IsWellFormed(message, request)) {
     LogEvent(LogLevel::kError, "append_malformed",
              {{"from", message.from.value()},
               {"previous_index", request.previous_index.value()}});
     return;
   }
+  state.leader_commit_index =
+      std::max(state.leader_commit_index, request.commit_index);
   // Entries up to the snapshot are committed and therefore the same on every
   // member.
   const bool is_previous_compacted =
--- a/src/wire/control_messages.h
+++ b/src/wire/control_messages.h
@@ -44,7 +44,7 @@
   }
 };
 
-// The address and the data centre of a control VM.
+// The address and the data centre of a control VM, and whether it votes.
 struct ControlVmLocation {
   Endpoint endpoint;
   DataCentreId data_centre;
