Log which control VM an entry VM follows and when all have confirmed a change

Change: entry VMs log control_followed, controls_listed and the duration of each stream or attempt; control VMs log routes_committed, lists_confirmed (one line for all changes of a burst) and subscriber_late after 1 s.

--- a/src/net/control/control_driver_outputs.cc
+++ b/src/net/control/control_driver_outputs.cc
@@ -24,6 +24,19 @@
   std::abort();
 }
 
+// Logs a committed command that has put other routes in force.
+void LogNewRoutes(const LogEntry& entry, const EntryOutcome& entry_outcome) {
+  const auto* outcome = std::get_if<ControlOutcome>(&entry_outcome);
+  const auto* routes =
+      outcome == nullptr ? nullptr : std::get_if<PutRoutesOutcome>(outcome);
+  if (routes != nullptr && routes->changed) {
+    LogEvent(LogLevel::kInfo, "routes_committed",
+             {{"version", routes->version.value()},
+              {"index", entry.index.value()},
+              {"term", entry.term.value()}});
+  }
+}
+
 }  // namespace
 
 void ControlDriver::Impl::SendMessages() {
@@ -85,6 +98,7 @@
     outcome = this->table.Apply(entry.index, entry.proposed_at,
                                 std::get<ControlCommand>(command));
     ++this->counters.commands_applied;
+    LogNewRoutes(entry, outcome);
   }
   auto pending_entry = this->pending.Take(entry.index);
   if (!pending_entry) {
--- a/src/net/control/list_stream.cc
+++ b/src/net/control/list_stream.cc
@@ -20,6 +20,16 @@
 // stream after a silence usually takes less.
 constexpr Duration kUnconfirmedLogAge = std::chrono::seconds(2);
 
+std::string ToText(const std::vector<ControlVmLocation>& controls) {
+  std::string text;
+  for (const ControlVmLocation& control : controls) {
+    text += text.empty() ? "" : ",";
+    text += ToString(control.endpoint);
+    text += control.is_voter ? "" : "(no vote)";
+  }
+  return text;
+}
+
 }  // namespace
 
 ListStream::ListStream(WorkerPool& worker_pool,
@@ -64,6 +74,8 @@
 
 void ListStream::Connect(const ControlChoice::Attempt& attempt) {
   this->current_control = attempt.endpoint;
+  this->connect_began_at = this->clock.Now();
+  this->is_followed = false;
   FramedLimits limits;
   limits.silence_timeout = this->settings.silence_timeout;
   limits.first_frame_timeout =
@@ -184,11 +196,13 @@
                       control.is_voter});
   }
   this->choice.OnListed(listed);
+  this->LogControls(heartbeat.controls);
   if (heartbeat.listing_age) {
     this->listing.Confirm(heartbeat.listing_hash, now - *heartbeat.listing_age);
   }
   this->listing.SetFleetLimitShare(Fraction(heartbeat.limit_share));
   if (heartbeat.has_quorum) {
+    this->LogFollowed(heartbeat);
     this->choice.OnSuccess(this->current_control);
     this->last_confirmed_index = heartbeat.index;
     this->lag.OnApplied(now, this->table.index());
@@ -222,6 +236,28 @@
   this->connection->Close();
 }
 
+void ListStream::LogFollowed(const StreamHeartbeat& heartbeat) {
+  if (std::exchange(this->is_followed, true)) {
+    return;
+  }
+  LogEvent(LogLevel::kInfo, "control_followed",
+           {{"control", ToString(this->current_control)},
+            {"control_index", heartbeat.index.value()},
+            {"index", this->table.index().value()},
+            {"connect_ms",
+             ToMilliseconds(this->clock.Now() - this->connect_began_at)}});
+}
+
+void ListStream::LogControls(const std::vector<ControlVmLocation>& controls) {
+  if (controls == this->listed_controls) {
+    return;
+  }
+  this->listed_controls = controls;
+  LogEvent(LogLevel::kInfo, "controls_listed",
+           {{"by", ToString(this->current_control)},
+            {"controls", ToText(controls)}});
+}
+
 void ListStream::LogListsAge() {
   const Duration age = this->clock.Now() - this->lists_confirmed_at();
   const bool is_unconfirmed = age >= kUnconfirmedLogAge;
@@ -241,7 +277,9 @@
   }
   LogEvent(LogLevel::kInfo, "stream_closed",
            {{"control", ToString(this->current_control)},
-            {"reason", ToString(reason)}});
+            {"reason", ToString(reason)},
+            {"open_ms",
+             ToMilliseconds(this->clock.Now() - this->connect_began_at)}});
   this->connection.reset();
   this->last_confirmed_index.reset();
   this->lag.OnSourceLost();
--- a/src/net/control/list_stream.h
+++ b/src/net/control/list_stream.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "src/core/clock.h"
 #include "src/net/control/control_client.h"
@@ -81,6 +82,10 @@
   void ArmHeartbeat();
   // Closes the stream and counts it as a failure of its control VM.
   void LeaveLaggingControl();
+  // Logs the first heartbeat of a stream that shows contact with a quorum, and
+  // each change of the set of control VMs.
+  void LogFollowed(const StreamHeartbeat& heartbeat);
+  void LogControls(const std::vector<ControlVmLocation>& controls);
   void LogListsAge();
 
   WorkerPool& pool;
@@ -96,6 +101,11 @@
   ControlChoice choice;
   Endpoint current_control;
   ConnectionPtr connection;
+  MonotonicTime connect_began_at;
+  // True once the control VM of this stream has reported a quorum.
+  bool is_followed = false;
+  // The members of the group that the last heartbeat listed.
+  std::vector<ControlVmLocation> listed_controls;
   std::optional<LogIndex> last_confirmed_index;
   ReplicationLag lag{clock.Now()};
   // True while the lists are logged as unconfirmed.
--- a/src/net/control/subscriber_hub.cc
+++ b/src/net/control/subscriber_hub.cc
@@ -20,6 +20,10 @@
 // of messages to each entry VM during a burst of edits.
 constexpr Duration kPushInterval = std::chrono::milliseconds(10);
 
+// A subscriber that has not confirmed the newest lists after this time is
+// logged. Most confirm them within tens of milliseconds.
+constexpr Duration kLateConfirmation = std::chrono::seconds(1);
+
 struct Subscriber {
   std::shared_ptr<FramedConnection> connection;
   VmId vm;
@@ -38,6 +42,14 @@
   // When the subscriber was first found to lack the newest lists. Absent while
   // it has them.
   std::optional<MonotonicTime> behind_since;
+  // True once it was logged as late with these lists.
+  bool is_logged_late = false;
+};
+
+// A change of the lists that not all subscribers have confirmed.
+struct OpenChange {
+  LogIndex index;
+  MonotonicTime began_at;
 };
 
 // An update that has to be sent to a subscriber.
@@ -104,6 +116,9 @@
   std::vector<DueUpdate> FindDueUpdates(LogIndex newest) {
     const RankedLock lock(this->mutex);
     const MonotonicTime now = this->clock.Now();
+    if (newest > this->logged_index && !this->open_change) {
+      this->open_change = OpenChange{newest, now};
+    }
     std::vector<DueUpdate> due_updates;
     for (auto& [key, subscriber] : this->subscribers) {
       if (subscriber.acknowledged_index < newest && !subscriber.behind_since) {
@@ -231,6 +246,45 @@
     }
   }
 
+  // Logs each subscriber that is late to confirm the newest lists, once until
+  // it has them. Must be called with the mutex held.
+  void LogLateSubscribers() {
+    const MonotonicTime now = this->clock.Now();
+    for (auto& [key, subscriber] : this->subscribers) {
+      if (!subscriber.is_logged_late && subscriber.behind_since &&
+          now - *subscriber.behind_since >= kLateConfirmation) {
+        subscriber.is_logged_late = true;
+        LogEvent(LogLevel::kWarning, "subscriber_late",
+                 {{"vm", subscriber.vm.value()},
+                  {"has", subscriber.acknowledged_index.value()},
+                  {"sent", subscriber.sent_index.value()},
+                  {"late_ms", ToMilliseconds(now - *subscriber.behind_since)}});
+      }
+    }
+  }
+
+  // Logs when all subscribers have confirmed a change. One line covers all
+  // changes that were made meanwhile, which bounds the volume during a burst.
+  // Must be called with the mutex held.
+  void LogConfirmedChange(LogIndex newest) {
+    const bool all_have_it = std::all_of(
+        this->subscribers.begin(), this->subscribers.end(),
+        [newest](const auto& entry) {
+          return entry.second.acknowledged_index >= newest;
+        });
+    if (!this->open_change || !all_have_it) {
+      return;
+    }
+    LogEvent(LogLevel::kInfo, "lists_confirmed",
+             {{"index", newest.value()},
+              {"from", this->open_change->index.value()},
+              {"subscribers", this->subscribers.size()},
+              {"took_ms", ToMilliseconds(this->clock.Now() -
+                                         this->open_change->began_at)}});
+    this->logged_index = newest;
+    this->open_change.reset();
+  }
+
   void SendHeartbeatsPeriodically() {
     this->SendHeartbeat();
     auto send_again = [weak = this->weak_from_this()] {
@@ -239,6 +293,7 @@
       }
     };
     const RankedLock lock(this->mutex);
+    this->LogLateSubscribers();
     this->heartbeat_timer =
         this->pool.After(this->heartbeat_interval, std::move(send_again));
   }
@@ -252,6 +307,9 @@
   std::atomic<bool> announced_has_quorum = false;
   mutable RankedMutex<LockRank::kSubscribers> mutex;
   std::map<const FramedConnection*, Subscriber> subscribers;
+  std::optional<OpenChange> open_change;
+  // The newest index that all subscribers were logged to have.
+  LogIndex logged_index;
   TimerHandle push_timer;
   TimerHandle heartbeat_timer;
 };
@@ -304,6 +362,12 @@
   subscriber.last_message_at = this->impl->clock.Now();
   if (subscriber.acknowledged_index >= newest) {
     subscriber.behind_since.reset();
+    if (std::exchange(subscriber.is_logged_late, false)) {
+      LogEvent(LogLevel::kInfo, "subscriber_caught_up",
+               {{"vm", subscriber.vm.value()},
+                {"index", subscriber.acknowledged_index.value()}});
+    }
+    this->impl->LogConfirmedChange(newest);
   }
 }
 
--- a/src/wire/control_messages.h
+++ b/src/wire/control_messages.h
@@ -50,6 +50,8 @@
   DataCentreId data_centre;
   bool is_voter = true;
 
+  bool operator==(const ControlVmLocation&) const = default;
+
   template <class Archive>
   void serialize(Archive& archive) {
     archive(this->endpoint, this->data_centre, this->is_voter);
