Learn control VMs from other entry VMs

Cause: an entry VM learns of new control VMs only from the one that it follows. If all that it knows are replaced while it can reach none of them, nothing names the new ones, and it serves its old routes for ever. Change: while it has no control VM with a quorum, an entry VM asks two others each second for their lists and for the control VMs that they know. It knows the others from the announcements that it had before. The exchange of lists between entry VMs existed for addresses in the settings; the platform's entry VM now takes part in it on the next internal port. Why it works: the set of entry VMs outlives the control VMs; one that follows the group is enough.

--- a/src/net/control/control_client.cc
+++ b/src/net/control/control_client.cc
@@ -44,7 +44,7 @@
       }
     };
     this->sharing = std::make_shared<ListSharing>(
-        pool, this->queue, this->table, this->settings, on_progress);
+        pool, this->queue, this->table, this->settings, this->MakeHandlers());
     if (!this->settings.controls.empty()) {
       this->stream = std::make_shared<ListStream>(pool, this->queue,
                                                   this->table, this->listing,
@@ -54,6 +54,28 @@
     }
   }
 
+  ListSharingHandlers MakeHandlers() {
+    ListSharingHandlers handlers;
+    handlers.on_progress = [weak = this->weak_from_this()] {
+      if (const auto self = weak.lock()) {
+        self->OnProgress();
+      }
+    };
+    handlers.controls = [weak = this->weak_from_this()] {
+      const auto self = weak.lock();
+      return self && self->stream ? self->stream->controls()
+                                  : std::vector<ControlVmLocation>();
+    };
+    handlers.on_controls = [weak = this->weak_from_this()](
+                               const std::vector<ControlVmLocation>& controls) {
+      const auto self = weak.lock();
+      if (self && self->stream) {
+        self->stream->AddControls(controls);
+      }
+    };
+    return handlers;
+  }
+
   void Start() {
     this->started_at = this->clock.Now();
     this->sharing->RequestFromAll();
@@ -142,7 +164,7 @@
 
   void OnPeerTimer() {
     if (!this->stream || !this->stream->confirmed_index()) {
-      this->sharing->RequestFromOnePeer();
+      this->sharing->RequestFromPeers();
     }
     this->UpdateSynchronised();
     this->ArmPeerTimer();
@@ -218,7 +240,15 @@
 void ControlClient::SetAggregatorsHandler(
     std::function<void(const AggregatorUpdate&)> on_aggregators) {
   if (this->impl->stream) {
-    this->impl->stream->SetAggregatorsHandler(std::move(on_aggregators));
+    this->impl->stream->SetAggregatorsHandler(
+        [handler = std::move(on_aggregators),
+         weak = std::weak_ptr(this->impl->sharing)](
+            const AggregatorUpdate& update) {
+          if (const auto sharing = weak.lock()) {
+            sharing->OnAggregators(update);
+          }
+          handler(update);
+        });
   }
 }
 
--- a/src/net/control/control_client.h
+++ b/src/net/control/control_client.h
@@ -25,8 +25,8 @@
   Duration heartbeat_interval = std::chrono::milliseconds(500);
   // A stream that receives no message for this long is replaced.
   Duration silence_timeout = std::chrono::milliseconds(1500);
-  // The entry VMs of the data centre, which also hold the lists. An entry that
-  // equals `listen` is ignored.
+  // Other entry VMs, which also hold the lists. An entry that equals `listen`
+  // is ignored. Those that the control VMs announce are asked as well.
   std::vector<Endpoint> peers;
   // The address on which this entry VM serves its lists to other entry VMs.
   // Port 0 turns this off.
--- a/src/net/control/control_server.cc
+++ b/src/net/control/control_server.cc
@@ -123,6 +123,7 @@
       reply.has_quorum = status.has_quorum;
       reply.leader = std::move(answer.leader);
       reply.index = status.lists_index;
+      reply.controls = LocationsOf(status.membership);
       if (request.known_index < status.lists_index ||
           request.known_index == LogIndex()) {
         ListUpdate update = table.FullUpdate();
--- a/src/net/control/list_sharing.cc
+++ b/src/net/control/list_sharing.cc
@@ -1,5 +1,6 @@
 #include "src/net/control/list_sharing.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <limits>
 #include <optional>
@@ -17,6 +18,10 @@
 constexpr Duration kServerSilenceTimeout = std::chrono::seconds(5);
 constexpr std::size_t kMaxConnections = 256;
 
+// Several entry VMs are asked at the same time, because some of those that were
+// known last may be gone.
+constexpr std::size_t kPeersPerRequest = 2;
+
 // A leader may lose its place while it is asked.
 constexpr int kMaxRedirects = 2;
 
@@ -38,12 +43,12 @@
                          SerialQueue serial_queue,
                          ListTable& list_table,
                          const ControlClientSettings& client_settings,
-                         std::function<void()> progress_handler)
+                         ListSharingHandlers sharing_handlers)
     : pool(worker_pool),
       queue(std::move(serial_queue)),
       table(list_table),
       settings(client_settings),
-      on_progress(std::move(progress_handler)),
+      handlers(std::move(sharing_handlers)),
       random(SystemSeed()) {}
 
 Result<void> ListSharing::Listen() {
@@ -90,14 +95,29 @@
   }
 }
 
-void ListSharing::RequestFromOnePeer() {
-  if (this->settings.peers.empty()) {
-    return;
+void ListSharing::RequestFromPeers() {
+  std::vector<Endpoint> peers = this->settings.peers;
+  for (const auto& [vm, endpoint] : this->announced_peers) {
+    peers.push_back(endpoint);
+  }
+  std::erase(peers, this->settings.listen);
+  for (std::size_t i = 0; i < std::min(kPeersPerRequest, peers.size()); ++i) {
+    std::swap(peers[i], peers[i + this->random.NextBelow(peers.size() - i)]);
+    this->RequestLists(peers[i], {});
+  }
+}
+
+void ListSharing::OnAggregators(const AggregatorUpdate& update) {
+  if (update.is_full) {
+    this->announced_peers.clear();
   }
-  const Endpoint& peer =
-      this->settings.peers[this->random.NextBelow(this->settings.peers.size())];
-  if (peer != this->settings.listen) {
-    this->RequestLists(peer, {});
+  for (const VmId& vm : update.removed) {
+    this->announced_peers.erase(vm);
+  }
+  for (const Aggregator& aggregator : update.added) {
+    if (aggregator.lists_endpoint.port != 0) {
+      this->announced_peers[aggregator.vm] = aggregator.lists_endpoint;
+    }
   }
 }
 
@@ -146,28 +166,38 @@
           this->clock.Now(),
           {LogIndex(), reply->index, reply->full_lists, {}, reply->routes});
     }
+    this->handlers.on_controls(reply->controls);
   }
-  this->on_progress();
+  this->handlers.on_progress();
 }
 
 void ListSharing::Serve(const std::shared_ptr<FramedConnection>& connection) {
-  FramedHandlers handlers;
-  handlers.on_body = [connection, &lists = this->table,
-                      weak = this->weak_from_this()](const std::string& body) {
-    const auto self = weak.lock();
-    const auto decoded =
-        Capture<ControlMessage>([&] { return DecodeControlMessage(body); });
-    const auto* message = std::get_if<ControlMessage>(&decoded);
-    const auto* request =
-        message == nullptr ? nullptr : std::get_if<ReadLists>(message);
-    if (!self || request == nullptr) {
-      connection->Close();
-      return;
-    }
-    connection->Send(EncodeControlMessage(ReplyTo(*request, lists)));
-  };
-  handlers.on_closed = [](CloseReason) {};
-  connection->Start(std::move(handlers));
+  FramedHandlers framed_handlers;
+  framed_handlers.on_body =
+      [connection, weak = this->weak_from_this()](const std::string& body) {
+        const auto self = weak.lock();
+        const auto decoded =
+            Capture<ControlMessage>([&] { return DecodeControlMessage(body); });
+        const auto* message = std::get_if<ControlMessage>(&decoded);
+        const auto* request =
+            message == nullptr ? nullptr : std::get_if<ReadLists>(message);
+        if (!self || request == nullptr) {
+          connection->Close();
+          return;
+        }
+        self->queue.Post([self, connection, request = *request] {
+          self->Reply(connection, request);
+        });
+      };
+  framed_handlers.on_closed = [](CloseReason) {};
+  connection->Start(std::move(framed_handlers));
+}
+
+void ListSharing::Reply(const std::shared_ptr<FramedConnection>& connection,
+                        const ReadLists& request) {
+  ListsReply reply = ReplyTo(request, this->table);
+  reply.controls = this->handlers.controls();
+  connection->Send(EncodeControlMessage(reply));
 }
 
 }  // namespace marigold
--- a/src/net/control/list_sharing.h
+++ b/src/net/control/list_sharing.h
@@ -2,6 +2,7 @@
 #define SRC_NET_CONTROL_LIST_SHARING_H_
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <vector>
 
@@ -17,19 +18,31 @@
 
 namespace marigold {
 
-// Requests the full lists from control VMs and from the other entry VMs of the
-// data centre, and serves this VM's lists to those entry VMs. Both are
-// independent of the stream from a control VM. Lists are requested at the
-// start, to find out which are the newest, and from other entry VMs while the
-// client follows no control VM in contact with a quorum. All methods must be
-// called on the queue.
+// What a `ListSharing` needs of the stream from a control VM. All calls are
+// made on the queue.
+struct ListSharingHandlers {
+  // Called after each reply.
+  std::function<void()> on_progress;
+  // Returns the control VMs that this VM knows.
+  std::function<std::vector<ControlVmLocation>()> controls;
+  // Called with the control VMs that another VM knows.
+  std::function<void(const std::vector<ControlVmLocation>&)> on_controls;
+};
+
+// Requests the full lists from control VMs and from other entry VMs, and serves
+// this VM's lists to other entry VMs, together with the control VMs that it
+// knows. Both are independent of the stream from a control VM. Lists are
+// requested at the start, to find out which are the newest, and from other
+// entry VMs while the client follows no control VM in contact with a quorum.
+// The other entry VMs are those of the settings and those that the control VM
+// has announced. All methods must be called on the queue.
 class ListSharing : public std::enable_shared_from_this<ListSharing> {
  public:
   ListSharing(WorkerPool& worker_pool,
               SerialQueue serial_queue,
               ListTable& list_table,
               const ControlClientSettings& client_settings,
-              std::function<void()> progress_handler);
+              ListSharingHandlers sharing_handlers);
 
   // Commands.
 
@@ -52,9 +65,11 @@
   // progress.
   void RequestNewest();
 
-  // Requests the lists from a random entry VM. Does nothing if the settings
-  // name none, or if the chosen one is this VM.
-  void RequestFromOnePeer();
+  // Requests the lists from random entry VMs. Does nothing if none is known.
+  void RequestFromPeers();
+
+  // Applies a change of the set of other entry VMs.
+  void OnAggregators(const AggregatorUpdate& update);
 
   // Queries.
 
@@ -84,15 +99,19 @@
                  const CallOutcome& outcome,
                  Request request);
   void Serve(const std::shared_ptr<FramedConnection>& connection);
+  void Reply(const std::shared_ptr<FramedConnection>& connection,
+             const ReadLists& request);
 
   WorkerPool& pool;
   SerialQueue queue;
   ListTable& table;
   const ControlClientSettings& settings;
-  std::function<void()> on_progress;
+  ListSharingHandlers handlers;
   SystemClock clock;
   SeededRandom random;
   std::unique_ptr<FramedServer> server;
+  // The addresses of announced entry VMs that serve their lists.
+  std::map<VmId, Endpoint> announced_peers;
   std::size_t pending_initial_calls = 0;
   std::size_t pending_confirmations = 0;
   bool has_requested_all = false;
--- a/src/net/control/list_stream.cc
+++ b/src/net/control/list_stream.cc
@@ -172,11 +172,33 @@
   this->Announce();
 }
 
+std::vector<ListedControl> ListStream::ToListed(
+    const std::vector<ControlVmLocation>& controls) const {
+  std::vector<ListedControl> listed;
+  for (const ControlVmLocation& control : controls) {
+    listed.push_back({control.endpoint,
+                      control.data_centre == this->settings.data_centre,
+                      control.is_voter});
+  }
+  return listed;
+}
+
+void ListStream::AddControls(const std::vector<ControlVmLocation>& controls) {
+  if (this->is_stopped || !this->choice.OnSuggested(this->ToListed(controls))) {
+    return;
+  }
+  LogEvent(LogLevel::kInfo, "controls_learned",
+           {{"controls", ToText(controls)}});
+  if (!this->connection) {
+    this->ScheduleConnect();
+  }
+}
+
 void ListStream::Announce() {
   if (this->settings.aggregator.port != 0 && this->connection) {
     this->connection->Send(EncodeControlMessage(
         AnnounceAggregator{{this->settings.vm, this->settings.data_centre,
-                            this->settings.aggregator},
+                            this->settings.aggregator, this->settings.listen},
                            this->is_leaving}));
   }
 }
@@ -189,13 +211,7 @@
 
 void ListStream::OnHeartbeat(const StreamHeartbeat& heartbeat) {
   const MonotonicTime now = this->clock.Now();
-  std::vector<ListedControl> listed;
-  for (const ControlVmLocation& control : heartbeat.controls) {
-    listed.push_back({control.endpoint,
-                      control.data_centre == this->settings.data_centre,
-                      control.is_voter});
-  }
-  this->choice.OnListed(listed);
+  this->choice.OnListed(this->ToListed(heartbeat.controls));
   this->LogControls(heartbeat.controls);
   if (heartbeat.listing_age) {
     this->listing.Confirm(heartbeat.listing_hash, now - *heartbeat.listing_age);
--- a/src/net/control/list_stream.h
+++ b/src/net/control/list_stream.h
@@ -51,11 +51,17 @@
       std::function<void(const AggregatorUpdate&)> on_aggregators);
   // Tells the control VM that this VM stops to answer queries.
   void WithdrawAggregator();
+  // Adds control VMs that another VM knows to those that are tried.
+  void AddControls(const std::vector<ControlVmLocation>& controls);
 
   // Queries.
 
   // The control VM that the current stream follows, or the last one.
   const Endpoint& control() const { return this->current_control; }
+  // The members of the group according to the last heartbeat.
+  const std::vector<ControlVmLocation>& controls() const {
+    return this->listed_controls;
+  }
   // The index of the newest lists according to the last heartbeat of the
   // current stream. Absent if there is no stream or if its control VM is not in
   // contact with a quorum.
@@ -76,6 +82,8 @@
   void OnListing(ListingUpdate update);
   void OnHeartbeat(const StreamHeartbeat& heartbeat);
   void OnClosed(const ConnectionPtr& closed, CloseReason reason);
+  std::vector<ListedControl> ToListed(
+      const std::vector<ControlVmLocation>& controls) const;
   void Subscribe(LogIndex known_index);
   void Announce();
   void SendHeartbeat();
--- a/src/net/control/subscriber_hub.cc
+++ b/src/net/control/subscriber_hub.cc
@@ -180,10 +180,7 @@
     if (listing_summary.observed_at) {
       heartbeat.listing_age = this->clock.Now() - *listing_summary.observed_at;
     }
-    for (const Member& member : status.membership.members) {
-      heartbeat.controls.push_back({member.address, member.data_centre,
-                                    member.role == MemberRole::kVoter});
-    }
+    heartbeat.controls = LocationsOf(status.membership);
     const RankedLock lock(this->mutex);
     const std::size_t share_count =
         std::max<std::size_t>(heartbeat.controls.size(), 1) *
@@ -267,11 +264,11 @@
   // changes that were made meanwhile, which bounds the volume during a burst.
   // Must be called with the mutex held.
   void LogConfirmedChange(LogIndex newest) {
-    const bool all_have_it = std::all_of(
-        this->subscribers.begin(), this->subscribers.end(),
-        [newest](const auto& entry) {
-          return entry.second.acknowledged_index >= newest;
-        });
+    const bool all_have_it =
+        std::all_of(this->subscribers.begin(), this->subscribers.end(),
+                    [newest](const auto& entry) {
+                      return entry.second.acknowledged_index >= newest;
+                    });
     if (!this->open_change || !all_have_it) {
       return;
     }
--- a/src/policy/control_choice.cc
+++ b/src/policy/control_choice.cc
@@ -25,6 +25,10 @@
 // another data centre.
 constexpr Duration kFailureMemory = std::chrono::seconds(10);
 
+// A group has at most 13 members. What several entry VMs know of earlier and
+// later members fits as well.
+constexpr std::size_t kMaxCandidates = 64;
+
 }  // namespace
 
 ControlChoice::ControlChoice(std::vector<Endpoint> endpoints,
@@ -110,6 +114,38 @@
           : static_cast<std::size_t>(last - this->candidates.data());
 }
 
+bool ControlChoice::OnSuggested(const std::vector<ListedControl>& suggested) {
+  bool has_added = false;
+  for (const ListedControl& control : suggested) {
+    if (this->FindCandidate(control.endpoint) != nullptr) {
+      continue;
+    }
+    if (this->candidates.size() >= kMaxCandidates) {
+      this->DropWorst();
+    }
+    Candidate candidate;
+    candidate.endpoint = control.endpoint;
+    candidate.is_local = control.is_local;
+    candidate.is_voter = control.is_voter;
+    this->candidates.push_back(std::move(candidate));
+    has_added = true;
+  }
+  return has_added;
+}
+
+void ControlChoice::DropWorst() {
+  const auto worst = std::max_element(
+      this->candidates.begin(), this->candidates.end(),
+      [](const Candidate& one, const Candidate& other) {
+        return std::pair(!one.is_in_settings, one.consecutive_failures) <
+               std::pair(!other.is_in_settings, other.consecutive_failures);
+      });
+  if (!worst->is_in_settings) {
+    this->candidates.erase(worst);
+    this->last_attempt_index = 0;
+  }
+}
+
 ControlChoice::Attempt ControlChoice::NextAttempt(MonotonicTime now) {
   const std::size_t candidate_count = this->candidates.size();
   std::size_t best_index = (this->last_attempt_index + 1) % candidate_count;
--- a/src/policy/control_choice.h
+++ b/src/policy/control_choice.h
@@ -52,6 +52,9 @@
   // Replaces the set of listed control VMs. Endpoints that are neither in it
   // nor in the settings are forgotten. Does nothing if `listed` is empty.
   void OnListed(const std::vector<ListedControl>& listed);
+  // Adds the control VMs that another entry VM knows, and forgets none. Returns
+  // true if one of them was unknown.
+  bool OnSuggested(const std::vector<ListedControl>& suggested);
 
   // Returns the next attempt. Prefers control VMs that are not in back-off,
   // among these the ones with the fewest recent failures, then the local ones,
@@ -87,6 +90,8 @@
   // The consecutive failures, or 0 if the last one was long ago.
   static std::uint32_t RecentFailures(MonotonicTime now,
                                       const Candidate& candidate);
+  // Forgets the candidate with the most failures that is not in the settings.
+  void DropWorst();
   // Returns null if the endpoint is unknown.
   Candidate* FindCandidate(const Endpoint& endpoint);
 
--- a/src/policy/fan_out/fan_out_types.h
+++ b/src/policy/fan_out/fan_out_types.h
@@ -22,12 +22,15 @@
   DataCentreId data_centre;
   // The address for queries of other entry VMs.
   Endpoint endpoint;
+  // The address on which it serves its lists to other entry VMs. Port 0 if it
+  // serves none.
+  Endpoint lists_endpoint{};
 
   auto operator<=>(const Aggregator&) const = default;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(this->vm, this->data_centre, this->endpoint);
+    archive(this->vm, this->data_centre, this->endpoint, this->lists_endpoint);
   }
 };
 
--- a/src/programs/forward_process.h
+++ b/src/programs/forward_process.h
@@ -121,6 +121,7 @@
     client.data_centre = DataCentreId(settings.data_centre);
     client.controls = settings.controls;
     client.aggregator = settings.aggregator;
+    client.listen = settings.lists;
     return client;
   }
 
--- a/src/programs/forward_settings.h
+++ b/src/programs/forward_settings.h
@@ -20,6 +20,9 @@
   Endpoint admin{"127.0.0.1", 8081};
   // The address for queries of other entry VMs. Port 0 turns them off.
   Endpoint aggregator{};
+  // The address on which this VM serves its lists to other entry VMs. Port 0
+  // turns this off.
+  Endpoint lists{};
   // "automatic", "direct" or "groups"; see `FanOutMode`.
   std::string fan_out = "automatic";
   // The fraction of a core that this VM may use.
--- a/src/wire/control_messages.cc
+++ b/src/wire/control_messages.cc
@@ -12,6 +12,15 @@
 template <>
 inline constexpr std::uint64_t kEnumValues<MembershipChange::Kind> = 3;
 
+std::vector<ControlVmLocation> LocationsOf(const Membership& membership) {
+  std::vector<ControlVmLocation> locations;
+  for (const Member& member : membership.members) {
+    locations.push_back({member.address, member.data_centre,
+                         member.role == MemberRole::kVoter});
+  }
+  return locations;
+}
+
 std::string EncodeControlMessage(const ControlMessage& message) {
   return EncodeBinary(message);
 }
--- a/src/wire/control_messages.h
+++ b/src/wire/control_messages.h
@@ -58,6 +58,9 @@
   }
 };
 
+// Returns the locations of the members of a control group.
+std::vector<ControlVmLocation> LocationsOf(const Membership& membership);
+
 // A control VM sends this message to its peers while its disk belongs to no
 // group. If a peer is the leader of a group, it adds the sender in the role
 // that `self` states, unless the sender is forming a new group.
@@ -240,11 +243,13 @@
   std::optional<Endpoint> leader;
   // Sent together with the lists if there is a route table.
   std::optional<RouteTable> routes{};
+  // The control VMs that the sender knows.
+  std::vector<ControlVmLocation> controls{};
 
   template <class Archive>
   void serialize(Archive& archive) {
     archive(this->call, this->index, this->is_confirmed, this->has_quorum,
-            this->full_lists, this->leader, this->routes);
+            this->full_lists, this->leader, this->routes, this->controls);
   }
 };
 
--- a/tests/control_choice_test.cc
+++ b/tests/control_choice_test.cc
@@ -122,6 +122,8 @@
   std::vector<std::vector<int>> listed;
   // The control VMs that are tried while all attempts fail at once.
   std::vector<int> expected_tried;
+  // The control VMs that another entry VM names after the last heartbeat.
+  std::vector<int> suggested{};
 };
 
 const ForgetRow kForgetRows[] = {
@@ -141,6 +143,16 @@
      {0},
      {{0, 1}, {1, 2}, {2, 3}, {3, 4}},
      {0, 3, 4}},
+    {"another entry VM names the VMs that have replaced all known ones",
+     {0, 1},
+     {{0, 1}},
+     {0, 1, 2, 3},
+     {2, 3}},
+    {"another entry VM names only VMs that are gone",
+     {0},
+     {{0, 1, 2}},
+     {0, 1, 2, 3},
+     {3}},
 };
 
 }  // namespace
@@ -228,6 +240,11 @@
       }
       choice.OnListed(listed);
     }
+    std::vector<ListedControl> suggested;
+    for (const int vm : row.suggested) {
+      suggested.push_back({EndpointOf(static_cast<std::size_t>(vm))});
+    }
+    choice.OnSuggested(suggested);
     std::set<int> tried;
     MonotonicTime now(seconds(100));
     for (int attempts = 0; attempts < 20; ++attempts) {
--- a/tests/control_client_test.cc
+++ b/tests/control_client_test.cc
@@ -65,6 +65,10 @@
   // requests for lists are not answered.
   std::optional<ListUpdate> lists;
   bool has_quorum = true;
+  // The control VMs that heartbeats and replies name.
+  std::vector<ControlVmLocation> controls;
+  // Sent to subscribers if it is set.
+  std::optional<AggregatorUpdate> aggregators;
   // The index in heartbeats, if it is not that of `lists`.
   std::optional<LogIndex> reported_index;
   // Accepts connections and sends nothing.
@@ -142,6 +146,9 @@
     if (this->lists) {
       connection.Send(EncodeControlMessage(*this->lists));
     }
+    if (this->aggregators) {
+      connection.Send(EncodeControlMessage(*this->aggregators));
+    }
     this->SendHeartbeat(connection);
   }
 
@@ -162,6 +169,7 @@
       }
       reply.is_confirmed = this->leads;
       reply.leader = this->known_leader;
+      reply.controls = this->controls;
       this->pool.PostAfter(this->reply_delay,
                            [weak = connection.weak_from_this(), reply] {
                              if (const auto open = weak.lock()) {
@@ -176,8 +184,10 @@
 
   void SendHeartbeat(FramedConnection& connection) {
     const LogIndex index = this->lists ? this->lists->to : LogIndex();
-    connection.Send(EncodeControlMessage(StreamHeartbeat{
-        this->reported_index.value_or(index), this->has_quorum}));
+    StreamHeartbeat heartbeat{this->reported_index.value_or(index),
+                              this->has_quorum};
+    heartbeat.controls = this->controls;
+    connection.Send(EncodeControlMessage(heartbeat));
   }
 
   WorkerPool& pool;
@@ -281,6 +291,18 @@
      std::chrono::milliseconds(200)},
 };
 
+struct LearnRow {
+  const char* scenario;
+  // How the client knows the other entry VM.
+  bool is_in_settings;
+  bool is_announced;
+};
+
+const LearnRow kLearnRows[] = {
+    {"the settings name the other entry VM", true, false},
+    {"the control VM has announced the other entry VM", false, true},
+};
+
 }  // namespace
 
 ParameterizedTestParameters(ControlClient, SubmitReportsOutcome) {
@@ -555,4 +577,76 @@
             tables[1].index().value());
 }
 
+ParameterizedTestParameters(ControlClient, LearnsControlVmsFromAnEntryVm) {
+  return RowIndices(kLearnRows);
+}
+
+// Guards against an entry VM that keeps old routes for good, because all
+// control VMs that it knew were replaced while it could reach none of them.
+ParameterizedTest(std::size_t* index,
+                  ControlClient,
+                  LearnsControlVmsFromAnEntryVm) {
+  const LearnRow& row = kLearnRows[*index];
+  ListTable table;
+  ListingTable listing;
+  WorkerPool pool(2);
+  ScriptedPeer replaced(pool, Address(1));
+  replaced.lists = ListsAt(5);
+  replaced.has_quorum = false;
+  ScriptedPeer other_entry_vm(pool, Address(5));
+  other_entry_vm.lists = ListsAt(5);
+  other_entry_vm.controls = {{Address(2), DataCentreId("dc1")}};
+  ScriptedPeer current(pool, Address(2));
+  current.lists = ListsAt(9);
+  ControlClientSettings settings = TestClientSettings();
+  settings.controls = {Address(1)};
+  if (row.is_in_settings) {
+    settings.peers = {Address(5)};
+  }
+  if (row.is_announced) {
+    replaced.aggregators = AggregatorUpdate{
+        true,
+        {{VmId("entry-5"), DataCentreId("dc1"), Address(6), Address(5)}},
+        {}};
+  }
+  ControlClient client(pool, table, listing, settings);
+  client.SetAggregatorsHandler([](const AggregatorUpdate&) {});
+  client.Start();
+  const bool is_current = Await(
+      pool, [&] { return table.index() == LogIndex(9); },
+      std::chrono::seconds(4));
+  pool.Stop();
+  cr_assert(is_current, "%s: expected index 9, actual %lu", row.scenario,
+            table.index().value());
+}
+
+// Guards against an entry VM that does not tell others which control VMs it
+// follows. One that starts with addresses of control VMs that are gone would
+// then find none.
+Test(ControlClient, EntryVmNamesItsControlVmsToAnother) {
+  ListTable tables[2];
+  ListingTable listings[2];
+  WorkerPool pool(2);
+  ScriptedPeer control(pool, Address(2));
+  control.lists = ListsAt(7);
+  control.controls = {{Address(2), DataCentreId("dc1")}};
+  ControlClientSettings settings = TestClientSettings();
+  settings.controls = {Address(2)};
+  settings.listen = Address(5);
+  ControlClient serving(pool, tables[0], listings[0], settings);
+  serving.Start();
+  cr_assert(Await(pool, [&] { return serving.is_synchronised(); }),
+            "expected that the first entry VM follows the control VM");
+  settings.controls = {Address(1)};
+  settings.listen = {};
+  settings.peers = {Address(5)};
+  ControlClient starting(pool, tables[1], listings[1], settings);
+  starting.Start();
+  const bool follows =
+      Await(pool, [&] { return control.subscriber_count >= 2; });
+  pool.Stop();
+  cr_assert(follows, "expected a stream of each entry VM, actual %d",
+            control.subscriber_count.load());
+}
+
 }  // namespace marigold
