Let a control VM without a quorum hide no others

Cause: an entry VM replaced the control VMs that it knows by the members that any heartbeat lists. A control VM that was replaced behind a pause or a cut runs on with the members of before. An entry VM that comes to it, as it does when the others are without a quorum for a moment, forgot all that had joined since; then all that it knew were gone. Evidence: ReplacedControlVmDoesNotHideItsSuccessors failed on the code before (expected index 9, actual 5). Change: only a heartbeat of a control VM in contact with a quorum replaces the known ones; another only adds.

--- a/src/net/control/list_stream.cc
+++ b/src/net/control/list_stream.cc
@@ -183,6 +183,17 @@
   return listed;
 }
 
+void ListStream::OnControls(const StreamHeartbeat& heartbeat) {
+  // A control VM without a quorum may have been replaced without knowing it.
+  // The members that it lists may all be gone.
+  if (heartbeat.has_quorum) {
+    this->choice.OnListed(this->ToListed(heartbeat.controls));
+    this->LogControls(heartbeat.controls);
+  } else {
+    this->choice.OnSuggested(this->ToListed(heartbeat.controls));
+  }
+}
+
 void ListStream::AddControls(const std::vector<ControlVmLocation>& controls) {
   if (this->is_stopped || !this->choice.OnSuggested(this->ToListed(controls))) {
     return;
@@ -211,8 +222,7 @@
 
 void ListStream::OnHeartbeat(const StreamHeartbeat& heartbeat) {
   const MonotonicTime now = this->clock.Now();
-  this->choice.OnListed(this->ToListed(heartbeat.controls));
-  this->LogControls(heartbeat.controls);
+  this->OnControls(heartbeat);
   if (heartbeat.listing_age) {
     this->listing.Confirm(heartbeat.listing_hash, now - *heartbeat.listing_age);
   }
--- a/src/net/control/list_stream.h
+++ b/src/net/control/list_stream.h
@@ -58,7 +58,8 @@
 
   // The control VM that the current stream follows, or the last one.
   const Endpoint& control() const { return this->current_control; }
-  // The members of the group according to the last heartbeat.
+  // The members of the group according to the last heartbeat of a control VM in
+  // contact with a quorum.
   const std::vector<ControlVmLocation>& controls() const {
     return this->listed_controls;
   }
@@ -81,6 +82,7 @@
   void OnUpdate(const ListUpdate& update);
   void OnListing(ListingUpdate update);
   void OnHeartbeat(const StreamHeartbeat& heartbeat);
+  void OnControls(const StreamHeartbeat& heartbeat);
   void OnClosed(const ConnectionPtr& closed, CloseReason reason);
   std::vector<ListedControl> ToListed(
       const std::vector<ControlVmLocation>& controls) const;
@@ -112,7 +114,8 @@
   MonotonicTime connect_began_at;
   // True once the control VM of this stream has reported a quorum.
   bool is_followed = false;
-  // The members of the group that the last heartbeat listed.
+  // The members of the group that the last heartbeat of a control VM in contact
+  // with a quorum listed.
   std::vector<ControlVmLocation> listed_controls;
   std::optional<LogIndex> last_confirmed_index;
   ReplicationLag lag{clock.Now()};
--- a/tests/control_client_test.cc
+++ b/tests/control_client_test.cc
@@ -64,7 +64,7 @@
   // The lists sent to subscribers and readers. If absent, none are sent, and
   // requests for lists are not answered.
   std::optional<ListUpdate> lists;
-  bool has_quorum = true;
+  std::atomic<bool> has_quorum = true;
   // The control VMs that heartbeats and replies name.
   std::vector<ControlVmLocation> controls;
   // Sent to subscribers if it is set.
@@ -72,7 +72,7 @@
   // The index in heartbeats, if it is not that of `lists`.
   std::optional<LogIndex> reported_index;
   // Accepts connections and sends nothing.
-  bool is_frozen = false;
+  std::atomic<bool> is_frozen = false;
   // Requests for lists are answered after this time.
   Duration reply_delay{};
   // True if replies say that this control VM is the leader.
@@ -577,6 +577,44 @@
             tables[1].index().value());
 }
 
+// Guards against an entry VM that forgets the control VMs which have replaced
+// the first ones, because one of the first runs on without a quorum and lists
+// only the members that it knew.
+Test(ControlClient, ReplacedControlVmDoesNotHideItsSuccessors) {
+  ListTable table;
+  ListingTable listing;
+  WorkerPool pool(2);
+  ScriptedPeer replaced(pool, Address(1));
+  replaced.has_quorum = false;
+  replaced.controls = {{Address(1), DataCentreId("dc2")},
+                       {Address(3), DataCentreId("dc2")}};
+  ScriptedPeer first_successor(pool, Address(2));
+  first_successor.lists = ListsAt(5);
+  first_successor.controls = {{Address(2), DataCentreId("dc2")},
+                              {Address(4), DataCentreId("dc2")}};
+  ControlClientSettings settings = TestClientSettings();
+  settings.controls = {Address(2), Address(1)};
+  ControlClient client(pool, table, listing, settings);
+  client.Start();
+  cr_assert(Await(pool, [&] { return table.index() == LogIndex(5); }),
+            "expected index 5, actual %lu", table.index().value());
+  // The client now follows none, and tries all that it knows.
+  const int streams_before = replaced.subscriber_count;
+  first_successor.is_frozen = true;
+  const auto has_tried_replaced = [&] {
+    return replaced.subscriber_count > streams_before;
+  };
+  cr_assert(Await(pool, has_tried_replaced, std::chrono::seconds(5)),
+            "expected another stream to the replaced VM, actual none");
+  ScriptedPeer second_successor(pool, Address(4));
+  second_successor.lists = ListsAt(9);
+  const bool is_current = Await(
+      pool, [&] { return table.index() == LogIndex(9); },
+      std::chrono::seconds(5));
+  pool.Stop();
+  cr_assert(is_current, "expected index 9, actual %lu", table.index().value());
+}
+
 ParameterizedTestParameters(ControlClient, LearnsControlVmsFromAnEntryVm) {
   return RowIndices(kLearnRows);
 }
