Read the seeds again when the settings change

Callers saw: an entry VM that is never ready, or keeps old routes, and a new control VM that never joins. A process that was started while the control VMs of its seeds were being replaced never heard of others, though the platform writes new seeds to the settings file, with or without a signal.

--- a/src/core/settings_values.cc
+++ b/src/core/settings_values.cc
@@ -30,6 +30,23 @@
   return Endpoint{address, static_cast<std::uint16_t>(*port)};
 }
 
+std::vector<Endpoint> ParseEndpoints(std::string_view text) {
+  constexpr std::string_view kSeparators = ", \t\r\n";
+  std::vector<Endpoint> endpoints;
+  std::size_t begin = text.find_first_not_of(kSeparators);
+  while (begin != std::string_view::npos) {
+    const std::size_t end =
+        std::min(text.find_first_of(kSeparators, begin), text.size());
+    const auto endpoint = ParseEndpoint(text.substr(begin, end - begin));
+    if (!endpoint) {
+      return {};
+    }
+    endpoints.push_back(*endpoint);
+    begin = text.find_first_not_of(kSeparators, end);
+  }
+  return endpoints;
+}
+
 std::optional<std::int64_t> ParseWholeNumber(std::string_view text) {
   std::int64_t value = 0;
   const char* end = text.data() + text.size();
--- a/src/core/settings_values.h
+++ b/src/core/settings_values.h
@@ -32,6 +32,10 @@
 // to 65535.
 std::optional<Endpoint> ParseEndpoint(std::string_view text);
 
+// Returns the endpoints in a text that separates them by commas or white space.
+// Returns an empty list if one of its parts is no endpoint.
+std::vector<Endpoint> ParseEndpoints(std::string_view text);
+
 // Returns nothing unless all of `text` is a whole decimal number.
 std::optional<std::int64_t> ParseWholeNumber(std::string_view text);
 
--- a/src/net/control/control_client.cc
+++ b/src/net/control/control_client.cc
@@ -252,6 +252,14 @@
   }
 }
 
+void ControlClient::SetControls(std::vector<Endpoint> controls) {
+  this->impl->queue.Post([impl = this->impl, controls = std::move(controls)] {
+    if (impl->stream) {
+      impl->stream->SetControls(controls);
+    }
+  });
+}
+
 void ControlClient::WithdrawAggregator() {
   this->impl->queue.Post([impl = this->impl] {
     if (impl->stream) {
--- a/src/net/control/control_client.h
+++ b/src/net/control/control_client.h
@@ -84,6 +84,9 @@
   void SetAggregatorsHandler(
       std::function<void(const AggregatorUpdate&)> on_aggregators);
 
+  // Replaces the control VMs of the settings, which have changed.
+  void SetControls(std::vector<Endpoint> controls);
+
   // Tells the other entry VMs that this one stops to answer queries.
   void WithdrawAggregator();
 
--- a/src/net/control/control_driver.cc
+++ b/src/net/control/control_driver.cc
@@ -210,6 +210,10 @@
   this->impl->Post(std::move(message));
 }
 
+void ControlDriver::AddPeers(std::vector<Endpoint> peers) {
+  this->impl->Post(detail::AddPeersInput{std::move(peers)});
+}
+
 void ControlDriver::OnHello(Hello hello,
                             std::function<void(HelloReply)> reply) {
   this->impl->Post(detail::HelloInput{std::move(hello), std::move(reply)});
--- a/src/net/control/control_driver.h
+++ b/src/net/control/control_driver.h
@@ -102,6 +102,9 @@
 
   void Start();
   void OnPeerMessage(PeerMessage message);
+  // Adds control VMs that the settings name now. A VM whose disk belongs to no
+  // group asks them to add it.
+  void AddPeers(std::vector<Endpoint> peers);
   void OnHello(Hello hello, std::function<void(HelloReply)> reply);
   // Proposes a command if this VM is the leader. A refusal states did-not-run
   // only if the command will never be committed.
--- a/src/net/control/control_driver_inputs.cc
+++ b/src/net/control/control_driver_inputs.cc
@@ -110,6 +110,13 @@
                    std::move(input.reply.membership)});
 }
 
+void ControlDriver::Impl::On(MonotonicTime /*now*/,
+                             detail::AddPeersInput& input) {
+  for (const Endpoint& peer : input.peers) {
+    this->AddHelloTarget(peer);
+  }
+}
+
 void ControlDriver::Impl::On(MonotonicTime now, detail::CommandInput& input) {
   if (this->deferred_commands.empty()) {
     this->deferred_since = now;
--- a/src/net/control/detail/control_driver_impl.h
+++ b/src/net/control/detail/control_driver_impl.h
@@ -40,6 +40,10 @@
   HelloReply reply;
 };
 
+struct AddPeersInput {
+  std::vector<Endpoint> peers;
+};
+
 struct CommandInput {
   std::string payload;
   std::function<void(SubmitAnswer)> done;
@@ -61,6 +65,7 @@
 using DriverInput = std::variant<PeerMessage,
                                  HelloInput,
                                  HelloReplyInput,
+                                 AddPeersInput,
                                  CommandInput,
                                  ChangeMembersInput,
                                  ConfirmReadInput,
@@ -107,6 +112,7 @@
   void On(MonotonicTime now, PeerMessage& peer);
   void On(MonotonicTime now, detail::HelloInput& input);
   void On(MonotonicTime now, detail::HelloReplyInput& input);
+  void On(MonotonicTime now, detail::AddPeersInput& input);
   void On(MonotonicTime now, detail::CommandInput& input);
   void ProposeDeferred(MonotonicTime now);
   void Propose(MonotonicTime now, detail::CommandInput& input);
--- a/src/net/control/list_stream.cc
+++ b/src/net/control/list_stream.cc
@@ -194,6 +194,16 @@
   }
 }
 
+void ListStream::SetControls(const std::vector<Endpoint>& controls) {
+  if (this->is_stopped) {
+    return;
+  }
+  this->choice.OnSettings(controls);
+  if (!this->connection) {
+    this->ScheduleConnect();
+  }
+}
+
 void ListStream::AddControls(const std::vector<ControlVmLocation>& controls) {
   if (this->is_stopped || !this->choice.OnSuggested(this->ToListed(controls))) {
     return;
--- a/src/net/control/list_stream.h
+++ b/src/net/control/list_stream.h
@@ -51,6 +51,8 @@
       std::function<void(const AggregatorUpdate&)> on_aggregators);
   // Tells the control VM that this VM stops to answer queries.
   void WithdrawAggregator();
+  // Replaces the control VMs of the settings.
+  void SetControls(const std::vector<Endpoint>& controls);
   // Adds control VMs that another VM knows to those that are tried.
   void AddControls(const std::vector<ControlVmLocation>& controls);
 
--- a/src/net/worker_pool.cc
+++ b/src/net/worker_pool.cc
@@ -71,8 +71,8 @@
         return;
       }
       if (signal_number == SIGHUP) {
-        LogEvent(LogLevel::kInfo, "reload",
-                 {{"changed", "nothing; settings are read only at the start"}});
+        LogEvent(LogLevel::kInfo, "reload", {{"reads", "seeds file, if any"}});
+        this->reload_handler();
       } else {
         this->signal_handler(signal_number);
       }
@@ -84,6 +84,7 @@
   asio::executor_work_guard<asio::io_context::executor_type> work_guard;
   asio::signal_set signals;
   std::function<void(int)> signal_handler;
+  std::function<void()> reload_handler;
   std::vector<std::thread> threads;
   std::promise<void> finish_promise;
   std::once_flag finish_once;
@@ -140,8 +141,10 @@
       });
 }
 
-void WorkerPool::SetSignalHandler(std::function<void(int)> signal_handler) {
+void WorkerPool::SetSignalHandler(std::function<void(int)> signal_handler,
+                                  std::function<void()> reload_handler) {
   this->impl->signal_handler = std::move(signal_handler);
+  this->impl->reload_handler = std::move(reload_handler);
   this->impl->signals.add(SIGTERM);
   this->impl->signals.add(SIGINT);
   this->impl->signals.add(SIGHUP);
--- a/src/net/worker_pool.h
+++ b/src/net/worker_pool.h
@@ -58,10 +58,11 @@
   // cancelled.
   void PostAfter(Duration delay, std::function<void()> task);
 
-  // Calls `signal_handler` with the signal number on each SIGTERM and SIGINT.
-  // Ignores SIGPIPE. Only logs SIGHUP, because settings are read only at the
-  // start.
-  void SetSignalHandler(std::function<void(int)> signal_handler);
+  // Calls `signal_handler` with the signal number on each SIGTERM and SIGINT,
+  // and `reload_handler` on each SIGHUP. Ignores SIGPIPE.
+  void SetSignalHandler(
+      std::function<void(int)> signal_handler,
+      std::function<void()> reload_handler = [] {});
 
   // Blocks the calling thread until `Finish` is called.
   void WaitUntilFinished();
--- a/src/policy/control_choice.cc
+++ b/src/policy/control_choice.cc
@@ -123,6 +123,23 @@
           : static_cast<std::size_t>(last - this->candidates.data());
 }
 
+void ControlChoice::OnSettings(const std::vector<Endpoint>& endpoints) {
+  if (endpoints.empty()) {
+    return;
+  }
+  for (Candidate& candidate : this->candidates) {
+    candidate.is_in_settings = false;
+  }
+  for (const Endpoint& endpoint : endpoints) {
+    Candidate* candidate = this->FindCandidate(endpoint);
+    if (candidate == nullptr) {
+      candidate = &this->candidates.emplace_back();
+      candidate->endpoint = endpoint;
+    }
+    candidate->is_in_settings = true;
+  }
+}
+
 bool ControlChoice::OnSuggested(const std::vector<ListedControl>& suggested) {
   bool has_added = false;
   for (const ListedControl& control : suggested) {
--- a/src/policy/control_choice.h
+++ b/src/policy/control_choice.h
@@ -52,6 +52,10 @@
   // Replaces the set of listed control VMs. Endpoints that are neither in it
   // nor in the settings are forgotten. Does nothing if `listed` is empty.
   void OnListed(const std::vector<ListedControl>& listed);
+  // Replaces the endpoints of the settings. Those that are no longer in the
+  // settings are forgotten unless the group lists them. Does nothing if
+  // `endpoints` is empty.
+  void OnSettings(const std::vector<Endpoint>& endpoints);
   // Adds the control VMs that another entry VM knows, and forgets none. Returns
   // true if one of them was unknown.
   bool OnSuggested(const std::vector<ListedControl>& suggested);
--- a/src/programs/control_process.cc
+++ b/src/programs/control_process.cc
@@ -78,17 +78,18 @@
       });
 }
 
-void ControlProcess::Serve() {
+void ControlProcess::Serve(std::function<void()> reload_handler) {
   this->hub->Start();
   this->driver->Start();
   this->sharing->Start();
   TimerHandle drain_timer;
-  this->pool.SetSignalHandler([&](int number) {
+  const auto stop = [&](int number) {
     LogEvent(LogLevel::kInfo, "stopping", {{"signal", number}});
     drain_timer =
         this->pool.After(kDrainTimeout, [this] { this->pool.Finish(); });
     this->driver->Drain([this] { this->pool.Finish(); });
-  });
+  };
+  this->pool.SetSignalHandler(stop, std::move(reload_handler));
   LogEvent(LogLevel::kInfo, "listening",
            {{"address", ToString(this->settings.driver.address)},
             {"http", ToString(this->settings.http)},
--- a/src/programs/control_process.h
+++ b/src/programs/control_process.h
@@ -2,6 +2,7 @@
 #define SRC_PROGRAMS_CONTROL_PROCESS_H_
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 
 #include "src/core/result.h"
@@ -37,8 +38,8 @@
   // with `IoError` or `ParseError`. `handler` answers the HTTP requests.
   Result<void> Open(HttpHandler handler);
 
-  // Serves until a signal arrives.
-  void Serve();
+  // Serves until a signal arrives. Calls `reload_handler` on each SIGHUP.
+  void Serve(std::function<void()> reload_handler = [] {});
 
   // Answers `GET /state`, `/metrics` and `/health`.
   HttpResponse AnswerHttp(const HttpRequest& request) const;
--- a/src/programs/forward_process.h
+++ b/src/programs/forward_process.h
@@ -13,6 +13,7 @@
 #include "src/core/log.h"
 #include "src/core/random.h"
 #include "src/net/control/control_client.h"
+#include "src/net/control/seeds_file.h"
 #include "src/net/fan_out/aggregator_listener.h"
 #include "src/net/forward/caller_listener.h"
 #include "src/net/forward/forwarder.h"
@@ -38,6 +39,14 @@
                     ToFanOutSettings(process_settings)),
         pool(process_settings.workers),
         control(pool, lists, listing, ToControlSettings(process_settings)),
+        seeds_file(pool,
+                   process_settings.seeds_file,
+                   [this](std::vector<Endpoint> seeds) {
+                     for (Endpoint& seed : seeds) {
+                       seed.port = this->settings.control_port;
+                     }
+                     this->control.SetControls(std::move(seeds));
+                   }),
         answers({settings, lists, listing, backends, metrics, lifecycle,
                  [this] { return this->knows_routes(); },
                  [this] { return this->caller_listener->open_connections(); },
@@ -58,7 +67,8 @@
       this->pool.Stop();
       return 1;
     }
-    this->pool.SetSignalHandler([this](int number) { this->OnSignal(number); });
+    this->pool.SetSignalHandler([this](int number) { this->OnSignal(number); },
+                                [this] { this->seeds_file.Read(); });
     LogEvent(LogLevel::kInfo, "listening",
              {{"address", ToString(this->settings.listen)},
               {"admin", ToString(this->settings.admin)},
@@ -164,6 +174,7 @@
     });
     BOOST_LEAF_CHECK(this->ListenForQueries(strands));
     BOOST_LEAF_CHECK(this->control.Start());
+    this->seeds_file.Read();
     this->StartPolling();
     this->ScheduleTick();
     return {};
@@ -333,6 +344,7 @@
   std::atomic<std::size_t> undrained_strands = 0;
   WorkerPool pool;
   ControlClient control;
+  SeedsFile seeds_file;
   ForwardAdmin answers;
   std::vector<
       std::pair<std::shared_ptr<Strand>, std::shared_ptr<StrandForwarder>>>
--- a/src/programs/forward_settings.h
+++ b/src/programs/forward_settings.h
@@ -30,6 +30,10 @@
   // The path of the readiness check on the address `admin`.
   std::string ready_path = "/ready";
   std::vector<Endpoint> controls;
+  // The file with other addresses for `controls`, whose ports are replaced by
+  // `control_port`. Empty if there is none.
+  std::string seeds_file;
+  std::uint16_t control_port = 0;
   Endpoint server_list{"127.0.0.1", 7300};
   std::int64_t workers = 1;
   std::int64_t max_connections = 2'000;
--- a/tests/control_choice_test.cc
+++ b/tests/control_choice_test.cc
@@ -160,6 +160,8 @@
   std::vector<int> expected_tried;
   // The control VMs that another entry VM names after the last heartbeat.
   std::vector<int> suggested{};
+  // The control VMs that the settings name from then on.
+  std::vector<int> new_settings{};
 };
 
 const ForgetRow kForgetRows[] = {
@@ -184,6 +186,13 @@
      {{0, 1}},
      {0, 1, 2, 3},
      {2, 3}},
+    {"the settings change before a heartbeat",
+     {0, 1},
+     {},
+     {0, 1, 2, 3},
+     {},
+     {2, 3}},
+    {"the settings change to none", {0, 1}, {{0, 1}}, {0, 1}, {}, {}},
     {"another entry VM names only VMs that are gone",
      {0},
      {{0, 1, 2}},
@@ -335,6 +344,11 @@
       suggested.push_back({EndpointOf(static_cast<std::size_t>(vm))});
     }
     choice.OnSuggested(suggested);
+    std::vector<Endpoint> new_settings;
+    for (const int vm : row.new_settings) {
+      new_settings.push_back(EndpointOf(static_cast<std::size_t>(vm)));
+    }
+    choice.OnSettings(new_settings);
     std::set<int> tried;
     MonotonicTime now(seconds(100));
     for (int attempts = 0; attempts < 20; ++attempts) {
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "src/core/settings.h"
+#include "tests/row_indices.h"
 
 namespace marigold {
 
@@ -35,14 +36,44 @@
      "flag --workres=8: unknown, or a value where none is taken; see --help"},
 };
 
+struct EndpointsRow {
+  const char* text;
+  // The endpoints, separated by blanks.
+  const char* expected;
+};
+
+// Guards against addresses that are dropped or made up when a file with several
+// of them is half written or has another content.
+const EndpointsRow kEndpointsRows[] = {
+    {"127.0.0.1:80\n", "127.0.0.1:80"},
+    {"127.0.0.1:80,127.0.0.2:81, 127.0.0.3:82\r\n",
+     "127.0.0.1:80 127.0.0.2:81 127.0.0.3:82"},
+    {"127.0.0.1:80\n\n127.0.0.2:81", "127.0.0.1:80 127.0.0.2:81"},
+    {"", ""},
+    {" ,\n", ""},
+    {"127.0.0.1:80,127.0.0.2:", ""},
+    {"Seeds:\n  - \"127.0.0.1:80\"\n", ""},
+};
+
 }  // namespace
 
-ParameterizedTestParameters(Settings, ErrorNamesSettingValueAndRange) {
-  static std::size_t indices[std::size(kParseRows)];
-  for (std::size_t i = 0; i < std::size(kParseRows); ++i) {
-    indices[i] = i;
+ParameterizedTestParameters(Settings, EndpointsAreReadFromText) {
+  return RowIndices(kEndpointsRows);
+}
+
+ParameterizedTest(std::size_t* index, Settings, EndpointsAreReadFromText) {
+  const EndpointsRow& row = kEndpointsRows[*index];
+  std::string actual;
+  for (const Endpoint& endpoint : ParseEndpoints(row.text)) {
+    actual += (actual.empty() ? "" : " ") + ToString(endpoint);
   }
-  return cr_make_param_array(std::size_t, indices, std::size(kParseRows));
+  cr_assert_eq(actual, std::string(row.expected),
+               "\"%s\": expected \"%s\", actual \"%s\"", row.text, row.expected,
+               actual.c_str());
+}
+
+ParameterizedTestParameters(Settings, ErrorNamesSettingValueAndRange) {
+  return RowIndices(kParseRows);
 }
 
 ParameterizedTest(std::size_t* index,
