Submit commands to the control VMs that the group lists

Callers saw (own interface): every paid action refused with no_quorum, by an entry VM that follows the group. Evidence: SubmitReachesTheListedControlVms on the code before: did_not_run no_quorum, expected granted. Change: the members that a control VM in contact with a quorum lists are told to the sender of commands as well.

--- a/src/net/control/command_sender.cc
+++ b/src/net/control/command_sender.cc
@@ -56,6 +56,10 @@
   this->BeginAttempt(this->last_call_id);
 }
 
+void CommandSender::OnListed(const std::vector<ListedControl>& listed) {
+  this->choice.OnListed(listed);
+}
+
 void CommandSender::Stop() {
   this->is_stopped = true;
   for (auto& [endpoint, channel] : this->channels) {
--- a/src/net/control/command_sender.h
+++ b/src/net/control/command_sender.h
@@ -38,6 +38,8 @@
   void Submit(ControlCommand command,
               MonotonicTime deadline,
               OnOutcome on_outcome);
+  // Replaces the members of the group, to which commands are sent.
+  void OnListed(const std::vector<ListedControl>& listed);
   // Closes all connections and refuses all pending and all further commands.
   void Stop();
 
--- a/src/net/control/control_client.cc
+++ b/src/net/control/control_client.cc
@@ -51,6 +51,13 @@
                                                   this->settings, on_progress);
       this->sender = std::make_shared<CommandSender>(pool, this->queue,
                                                      this->settings.controls);
+      this->stream->SetListedHandler(
+          [weak = std::weak_ptr(this->sender)](
+              const std::vector<ListedControl>& listed) {
+            if (const auto command_sender = weak.lock()) {
+              command_sender->OnListed(listed);
+            }
+          });
     }
   }
 
--- a/src/net/control/list_stream.cc
+++ b/src/net/control/list_stream.cc
@@ -167,6 +167,11 @@
   this->on_aggregators = std::move(handler);
 }
 
+void ListStream::SetListedHandler(
+    std::function<void(const std::vector<ListedControl>&)> handler) {
+  this->on_listed = std::move(handler);
+}
+
 void ListStream::WithdrawAggregator() {
   this->is_leaving = true;
   this->Announce();
@@ -186,11 +191,13 @@
 void ListStream::OnControls(const StreamHeartbeat& heartbeat) {
   // A control VM without a quorum may have been replaced without knowing it.
   // The members that it lists may all be gone.
+  const std::vector<ListedControl> listed = this->ToListed(heartbeat.controls);
   if (heartbeat.has_quorum) {
-    this->choice.OnListed(this->ToListed(heartbeat.controls));
+    this->choice.OnListed(listed);
+    this->on_listed(listed);
     this->LogControls(heartbeat.controls);
   } else {
-    this->choice.OnSuggested(this->ToListed(heartbeat.controls));
+    this->choice.OnSuggested(listed);
   }
 }
 
--- a/src/net/control/list_stream.h
+++ b/src/net/control/list_stream.h
@@ -49,6 +49,11 @@
   // before `Start`.
   void SetAggregatorsHandler(
       std::function<void(const AggregatorUpdate&)> on_aggregators);
+  // Sets the callback for the members that a control VM in contact with a
+  // quorum lists. Must be called before `Start`.
+  void SetListedHandler(
+      std::function<void(const std::vector<ListedControl>&)> on_listed);
+
   // Tells the control VM that this VM stops to answer queries.
   void WithdrawAggregator();
   // Replaces the control VMs of the settings.
@@ -109,6 +114,8 @@
   std::function<void(const ServerHints&)> on_hints = [](const ServerHints&) {};
   std::function<void(const AggregatorUpdate&)> on_aggregators =
       [](const AggregatorUpdate&) {};
+  std::function<void(const std::vector<ListedControl>&)> on_listed =
+      [](const std::vector<ListedControl>&) {};
   SystemClock clock;
   ControlChoice choice;
   Endpoint current_control;
--- a/tests/control_client_test.cc
+++ b/tests/control_client_test.cc
@@ -658,6 +658,35 @@
             table.index().value());
 }
 
+// Guards against an entry VM that refuses paid actions for good, because it
+// submits commands only to the control VMs of its settings, which were
+// replaced.
+Test(ControlClient, SubmitReachesTheListedControlVms) {
+  ListTable table;
+  ListingTable listing;
+  WorkerPool pool(2);
+  ScriptedPeer replaced(pool, Address(1));
+  replaced.lists = ListsAt(5);
+  replaced.controls = {{Address(2), DataCentreId("dc1")}};
+  replaced.submit_behaviour = SubmitBehaviour::kHasNoQuorum;
+  ScriptedPeer current(pool, Address(2));
+  current.lists = ListsAt(5);
+  current.controls = {{Address(2), DataCentreId("dc1")}};
+  ControlClientSettings settings = TestClientSettings();
+  settings.controls = {Address(1)};
+  ControlClient client(pool, table, listing, settings);
+  client.Start();
+  cr_assert(Await(pool, [&] { return current.subscriber_count > 0; }),
+            "expected a stream to the listed control VM");
+  std::promise<SubmitOutcome> outcome;
+  client.Submit(ClaimAction{}, std::chrono::seconds(2),
+                [&](SubmitOutcome result) { outcome.set_value(result); });
+  const std::string actual = ToText(outcome.get_future().get());
+  pool.Stop();
+  cr_assert_eq(actual, std::string("granted"),
+               "expected \"granted\", actual \"%s\"", actual.c_str());
+}
+
 // Guards against an entry VM that does not tell others which control VMs it
 // follows. One that starts with addresses of control VMs that are gone would
 // then find none.
