--- a/src/net/control/subscriber_hub.cc
+++ b/src/net/control/subscriber_hub.cc
@@ -272,7 +272,7 @@
     if (!this->open_change || !all_have_it) {
       return;
     }
-    LogEvent(LogLevel::kInfo, "lists_confirmed",
+    LogEvent(LogLevel::kInfo, "lists_distributed",
              {{"index", newest.value()},
               {"from", this->open_change->index.value()},
               {"subscribers", this->subscribers.size()},
