Test crowds of clients that do not behave

Change: crowd_client sends many requests of legal size that stop short of their end, or takes no answers, and stays connected; crowd.sh checks that the entry VM lives, its peak memory (64 MB, set for the test) and its descriptors, beside and after two crowds, and that ordinary requests and one of legal size are answered.

--- /dev/null
+++ b/tests/platform/crowd.sh
@@ -0,0 +1,76 @@
+#!/usr/bin/env bash
+# Tests that an entry VM outlives clients that do not behave: crowd.sh KIND, where
+# KIND is one of crowd_client's. Many requests of legal size stop just short of their
+# end and stay open. If it is wrong, the process needs more memory than its VM has
+# and is killed. Checks nothing that depends on the machine's speed.
+set -euo pipefail
+kind=$1
+base=127.58
+clients=120
+body_bytes=$((1024 * 1024))
+max_body_bytes=$body_bytes
+# The memory of the VM, and the bound on what the process may hold at its peak.
+memory_mb=64
+# The sockets of one crowd, 50 connections to each of four backend servers, and 50
+# others.
+max_descriptors=$((clients + 250))
+case $kind in
+  heads) client_bytes=16000 ;;
+  *) client_bytes=$body_bytes ;;
+esac
+case $kind in
+  unread) path=/act/large ;;
+  *) path=/act/crowd ;;
+esac
+. "$(dirname "$0")/system.sh"
+export MARIGOLD_MEMORY_MB=$memory_mb
+
+is_alive() { kill -0 "${pids[e1]}" 2>/dev/null; }
+read_peak_kb() { awk '/^VmHWM/ { print $2 }' "/proc/${pids[e1]}/status"; }
+# Waits until the process has taken what the crowd has sent: its peak no longer grows.
+peak_is_steady() {
+  local before
+  before=$(read_peak_kb)
+  sleep 2
+  [ "$before" = "$(read_peak_kb)" ]
+}
+check_process() {
+  is_alive || fail "$1: expected that the process runs, actual: it has ended"
+  local peak_kb descriptors
+  peak_kb=$(read_peak_kb)
+  descriptors=$(find "/proc/${pids[e1]}/fd" -mindepth 1 | wc -l)
+  [ "$peak_kb" -le $((memory_mb * 1024)) ] ||
+    fail "$1: expected a peak of at most $((memory_mb * 1024)) kB, actual $peak_kb kB"
+  [ "$descriptors" -le $max_descriptors ] ||
+    fail "$1: expected at most $max_descriptors descriptors, actual $descriptors"
+  ok "$1: peak $peak_kb kB (bound $((memory_mb * 1024))), $descriptors descriptors"
+}
+start_crowd() {
+  "$bin/crowd-client" --target=$net.11:8080 --kind="$kind" --path=$path \
+    --clients=$clients --bytes=$client_bytes >"$work/crowd$1" 2>&1 &
+  pids[crowd$1]=$!
+  disown
+}
+crowd_settled() { grep -q settled "$work/crowd$1"; }
+
+start_standin
+for i in 1 2 3; do start_control $i true; done
+within $ack_ms "a first configuration is accepted" config_accepted 3 1200
+start_entry 1
+within $recovery_ms "the entry VM is ready" is_ready 1
+for crowd in 1 2; do
+  start_crowd $crowd
+  within 60000 "crowd $crowd has sent its requests" crowd_settled $crowd
+  cat "$work/crowd$crowd"
+  within 60000 "the process has taken what crowd $crowd sent" peak_is_steady
+  check_process "beside crowd $crowd"
+  expect "an ordinary request is answered beside crowd $crowd" 200 "$(send_request 1 "c-$crowd" /act/1)"
+  kill_process crowd$crowd
+  check_process "after crowd $crowd"
+  expect "an ordinary request is answered after crowd $crowd" 200 "$(send_request 1 "a-$crowd" /act/1)"
+done
+head -c $body_bytes /dev/zero >"$work/upload"
+expect "a request of legal size is answered" 200 \
+  "$(send_request 1 "l-1" /act/1 --data-binary @"$work/upload")"
+check_process "at the end"
+echo "crowd $kind: all checks passed"
--- a/tests/platform/platform_standin.cc
+++ b/tests/platform/platform_standin.cc
@@ -33,6 +33,10 @@
 constexpr std::size_t kMaxConnections = 1'000;
 constexpr std::uint16_t kServerPort = 9000;
 constexpr auto kPauseTime = std::chrono::seconds(2);
+constexpr std::size_t kReplyBytes = 34;
+// The reply to a request whose path contains "/large".
+constexpr std::size_t kLargeReplyBytes = 1024 * 1024;
+constexpr std::size_t kMaxBodyBytes = 64 * 1024 * 1024;
 
 struct StandinSettings {
   Endpoint list{"127.0.0.1", 7300};
@@ -149,7 +153,11 @@
       this->Answer(server, session, request);
     };
     handlers.on_disconnected = [](const std::shared_ptr<CallerSession>&) {};
-    handlers.limits = [] { return CallerLimits(); };
+    handlers.limits = [] {
+      CallerLimits limits;
+      limits.body_bytes = kMaxBodyBytes;
+      return limits;
+    };
     return handlers;
   }
 
@@ -204,7 +212,10 @@
       return;
     }
     // Two records of 16 bytes, followed by an incomplete record of 2 bytes.
-    const std::string body(34, server.service.back());
+    const std::size_t body_bytes = target.find("/large") != std::string::npos
+                                       ? kLargeReplyBytes
+                                       : kReplyBytes;
+    const std::string body(body_bytes, server.service.back());
     const bool is_leaving = this->leaving_servers.contains(server.id);
     const std::string fields = is_leaving ? "Server-Leaving: 1\r\n" : "";
     session->Answer(late_copy + FormatReply(server, request, 200, fields, body),
--- a/tests/platform/system.sh
+++ b/tests/platform/system.sh
@@ -19,6 +19,8 @@
 # all VMs recover within `recovery_ms`.
 ack_ms=5000
 recovery_ms=12000
+# The limit of a caller's body in the configurations.
+max_body_bytes=${max_body_bytes:-262144}
 declare -A pids
 
 cleanup() {
@@ -91,7 +93,7 @@
   "TimeoutMs":$2,"TargetLatencyMs":200,"Backend":"s1","Attempts":2}],
  "Backends":[{"Name":"s1","HealthPath":"/health","MaxConnections":50},
   {"Name":"s2","HealthPath":"/health","MaxConnections":50}],
- "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":262144,
+ "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":$max_body_bytes,
   "HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}
 JSON
 }
