Bound the memory of callers' requests and answers

Cause: nothing bounded what the requests of all callers hold together; 2,000 connections of 256 KiB are 500 MB. Change: requests that arrive, requests in progress and answers that are not taken share a quarter of the VM's memory (--memory-mb). When it is short, the caller that has made no progress for the longest time is refused with 503 and Retry-After, or its connection closed; the request was not passed on. The last eighth is for small requests, and a request that is alone always fits. Incomplete replies of servers may take another quarter at most. Why it works: clients that stop make no progress, those that behave do; nobody is judged by what it declares. The test has addresses for each kind, since the next kind met sockets of the one before.

--- a/src/net/forward/caller_session.cc
+++ b/src/net/forward/caller_session.cc
@@ -30,6 +30,14 @@
 // write of an answer.
 constexpr Duration kTransferTimeout = std::chrono::seconds(10);
 
+// Sessions that hold less than this are not counted. The number of connections
+// bounds what they hold together.
+constexpr std::size_t kUncountedBytes = 8 * 1024;
+
+// When memory is short, requests that make no progress are evicted within this
+// time.
+constexpr std::string_view kMemoryRetryAfter = "Retry-After: 1\r\n";
+
 constexpr int kBadRequest = 400;
 constexpr int kRequestTimeout = 408;
 constexpr int kBodyTooLarge = 413;
@@ -68,6 +76,10 @@
       handlers(std::move(caller_handlers)),
       shutdown_state(std::move(listener_shutdown_state)) {}
 
+CallerSession::~CallerSession() {
+  this->handlers->memory->Release(this);
+}
+
 void CallerSession::Start() {
   ErrorCode ignored;
   this->socket.set_option(tcp::no_delay(true), ignored);
@@ -79,6 +91,7 @@
 void CallerSession::BeginRequest() {
   this->state = State::kIdle;
   this->state_began_at = this->strand->Now();
+  this->handlers->memory->Release(this);
   this->limits = this->handlers->limits();
   this->has_sent_continue = false;
   this->is_head = false;
@@ -172,7 +185,12 @@
     this->Refuse(kBadRequest, error.message());
     return;
   }
-  if (this->parser->is_done()) {
+  const bool is_done = this->parser->is_done();
+  if (!this->HoldMemory(this->RequestBytes(), !is_done)) {
+    this->RefuseForMemory();
+    return;
+  }
+  if (is_done) {
     this->state = State::kHandling;
     CallerRequest request = this->parser->release();
     this->keeps_alive = request.keep_alive();
@@ -194,13 +212,52 @@
   const auto reason = http::obsolete_reason(static_cast<http::status>(status));
   this->state = State::kHandling;
   this->Answer(
-      fmt::format("HTTP/1.1 {} {}\r\nContent-Type: text/plain\r\n"
+      fmt::format("HTTP/1.1 {} {}\r\nContent-Type: text/plain\r\n{}"
                   "Content-Length: {}\r\nConnection: close\r\n\r\n{}",
                   status, std::string_view(reason.data(), reason.size()),
+                  status == kMemoryShortStatus ? kMemoryRetryAfter : "",
                   detail.size(), detail),
       true);
 }
 
+std::size_t CallerSession::RequestBytes() const {
+  return this->parser->get().body().size() + this->buffer.capacity();
+}
+
+bool CallerSession::HoldMemory(std::size_t bytes, bool is_evictable) {
+  CallerSessionMemory& memory = *this->handlers->memory;
+  if (bytes < kUncountedBytes) {
+    memory.Release(this);
+    return true;
+  }
+  memory.Hold(this, bytes, is_evictable);
+  while (!memory.Fits(this)) {
+    const auto victim = memory.NextVictim(this);
+    if (!victim) {
+      return false;
+    }
+    (*victim)->Evict();
+  }
+  return true;
+}
+
+void CallerSession::Evict() {
+  if (this->state == State::kReading) {
+    this->RefuseForMemory();
+  } else {
+    this->Close();
+  }
+}
+
+// The request was not passed on, so the answer promises that it did not run.
+void CallerSession::RefuseForMemory() {
+  this->handlers->on_memory_short(this->parser->get());
+  this->handlers->memory->Release(this);
+  this->parser.emplace();
+  this->buffer = {};
+  this->Refuse(kMemoryShortStatus, "too many large requests at the same time");
+}
+
 void CallerSession::Answer(std::string bytes, bool closes_connection) {
   if (this->state != State::kHandling) {
     return;
@@ -212,6 +269,7 @@
   if (this->is_head) {
     this->outgoing.resize(HeaderSize(this->outgoing));
   }
+  this->handlers->memory->Release(this);
   ErrorCode error;
   const std::size_t sent =
       this->socket.write_some(asio::buffer(this->outgoing), error);
@@ -223,6 +281,10 @@
     this->Close();
     return;
   }
+  if (!this->HoldMemory(this->outgoing.size(), true)) {
+    this->Close();
+    return;
+  }
   asio::async_write(this->socket, asio::buffer(this->outgoing) + sent,
                     [self = this->shared_from_this()](const ErrorCode& failed,
                                                       std::size_t /*size*/) {
@@ -306,6 +368,7 @@
     return;
   }
   this->state = State::kClosed;
+  this->handlers->memory->Release(this);
   ErrorCode ignored;
   this->socket.close(ignored);
   this->handlers->on_closed(this);
--- a/src/net/forward/caller_session.h
+++ b/src/net/forward/caller_session.h
@@ -12,6 +12,7 @@
 #include <string>
 
 #include "src/net/forward/strand.h"
+#include "src/policy/caller_memory.h"
 #include "src/policy/routes.h"
 
 namespace marigold {
@@ -21,6 +22,8 @@
 
 class CallerSession;
 
+using CallerSessionMemory = CallerMemory<CallerSession*>;
+
 // Callbacks and limits that a listener gives to its sessions. All calls are
 // made on the session's strand.
 struct CallerHandlers {
@@ -35,6 +38,15 @@
   std::function<void(CallerSession*)> on_closed;
   // Returns the limits that are in force now.
   std::function<CallerLimits()> limits;
+  // Called when a request, which may be incomplete, is refused for want of
+  // memory.
+  std::function<void(const CallerRequest&)> on_memory_short =
+      [](const CallerRequest&) {};
+  // What the sessions of the strand hold together.
+  std::shared_ptr<CallerSessionMemory> memory =
+      std::make_shared<CallerSessionMemory>(kDefaultCallerMemoryBytes);
+
+  static constexpr std::size_t kDefaultCallerMemoryBytes = 64 * 1024 * 1024;
 };
 
 // Flags that are set when the process begins to shut down. Shared by all
@@ -50,10 +62,14 @@
 // even while the process shuts down. Used only on its strand.
 class CallerSession : public std::enable_shared_from_this<CallerSession> {
  public:
+  // The status of a request that is refused for want of memory.
+  static constexpr int kMemoryShortStatus = 503;
+
   CallerSession(std::shared_ptr<Strand> owning_strand,
                 boost::asio::ip::tcp::socket accepted,
                 std::shared_ptr<const CallerHandlers> caller_handlers,
                 std::shared_ptr<const ShutdownState> listener_shutdown_state);
+  ~CallerSession();
 
   CallerSession(const CallerSession&) = delete;
   CallerSession& operator=(const CallerSession&) = delete;
@@ -106,6 +122,15 @@
   bool Receive();
   void Parse();
   void Refuse(int status, std::string_view detail);
+  // Counts the bytes that this session holds. If memory is short, others that
+  // make no progress are evicted. Returns false if that is not enough.
+  bool HoldMemory(std::size_t bytes, bool is_evictable);
+  // Gives up the incomplete request or the answer that the caller does not
+  // take.
+  void Evict();
+  void RefuseForMemory();
+  // The bytes of the request that has arrived so far.
+  std::size_t RequestBytes() const;
   void OnWritten(const ErrorCode& error);
   void BeginRequest();
   void Linger();
--- a/src/net/forward/forwarder.h
+++ b/src/net/forward/forwarder.h
@@ -29,6 +29,8 @@
   std::function<bool()> are_routes_known;
   const Lifecycle& lifecycle;
   ReplyLimits reply_limits;
+  // What the requests and answers of the callers of one strand may take.
+  std::size_t caller_memory_bytes = CallerHandlers::kDefaultCallerMemoryBytes;
 };
 
 // Takes the requests of one strand, finds the route of each and starts a call.
@@ -60,6 +62,13 @@
         [self = this->shared_from_this()](const SessionPtr& session) {
           self->OnDisconnected(session);
         };
+    handlers.on_memory_short =
+        [self = this->shared_from_this()](const CallerRequest& request) {
+          self->LogRefusal(request, CallerSession::kMemoryShortStatus,
+                           "memory_short");
+        };
+    handlers.memory = std::make_shared<CallerSessionMemory>(
+        this->context.caller_memory_bytes);
     handlers.limits = [self = this->shared_from_this()] {
       const auto routes = self->context.lists.Routes();
       return routes ? routes->table().limits : CallerLimits();
@@ -261,17 +270,23 @@
               const CallerRequest& request,
               std::string_view reason,
               const LocalAnswer& answer) {
+    this->LogRefusal(request, answer.status, reason);
+    const bool closes_connection = session->MustClose();
+    session->Answer(MessageCodec::WriteLocalAnswer(answer, closes_connection),
+                    closes_connection);
+  }
+
+  void LogRefusal(const CallerRequest& request,
+                  int status,
+                  std::string_view reason) {
     this->context.metrics.OnRefused(reason);
     const auto routes = this->context.lists.Routes();
     LogEvent(
         LogLevel::kInfo, "request_refused",
         {{"request", MessageCodec::ReadCaller(request).request.value()},
-         {"status", answer.status},
+         {"status", status},
          {"reason", reason},
          {"routes_version", routes ? routes->table().version.value() : 0}});
-    const bool closes_connection = session->MustClose();
-    session->Answer(MessageCodec::WriteLocalAnswer(answer, closes_connection),
-                    closes_connection);
   }
 
   ForwardContext context;
--- a/src/programs/forward_process.h
+++ b/src/programs/forward_process.h
@@ -3,6 +3,7 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <atomic>
 #include <memory>
 #include <string>
@@ -118,10 +119,19 @@
     return fan_out;
   }
 
+  // What one strand may use for one of the two kinds of bytes whose amount
+  // others decide: those of callers and those of backend servers.
+  static std::int64_t MemoryShare(const ForwardSettings& settings) {
+    constexpr std::int64_t kMiB = 1024 * 1024;
+    constexpr std::int64_t kParts = 4;
+    return settings.memory_mib * kMiB / kParts / settings.workers;
+  }
+
   static ReplyLimits ToReplyLimits(const ForwardSettings& settings) {
     return {static_cast<std::size_t>(settings.max_reply_bytes),
-            static_cast<std::size_t>(settings.reply_memory_bytes /
-                                     settings.workers)};
+            static_cast<std::size_t>(
+                std::min(settings.reply_memory_bytes / settings.workers,
+                         MemoryShare(settings)))};
   }
 
   static ControlClientSettings ToControlSettings(
@@ -138,13 +148,15 @@
   Result<void> Open() {
     this->started_at = this->clock.Now();
     this->listing.OnChanged([this] { this->ApplyListing(); });
-    const ForwardContext shared{this->lists,
-                                this->backends,
-                                this->aggregators,
-                                this->metrics,
-                                [this] { return this->knows_routes(); },
-                                this->lifecycle,
-                                ToReplyLimits(this->settings)};
+    const ForwardContext shared{
+        this->lists,
+        this->backends,
+        this->aggregators,
+        this->metrics,
+        [this] { return this->knows_routes(); },
+        this->lifecycle,
+        ToReplyLimits(this->settings),
+        static_cast<std::size_t>(MemoryShare(this->settings))};
     std::vector<std::shared_ptr<Strand>> strands;
     for (std::int64_t i = 0; i < this->settings.workers; ++i) {
       strands.push_back(std::make_shared<Strand>(this->pool));
--- a/src/programs/forward_settings.cc
+++ b/src/programs/forward_settings.cc
@@ -23,6 +23,9 @@
   table.AddNumber("reply-memory-bytes", settings.reply_memory_bytes, 64 * 1024,
                   4LL * 1024 * 1024 * 1024, "bytes",
                   "Maximum memory of all incomplete replies together.");
+  table.AddNumber("memory-mb", settings.memory_mib, 16, 1024 * 1024, "MiB",
+                  "Memory of this VM. Requests and answers of callers may take "
+                  "a quarter of it, and incomplete replies another one.");
   table.AddDecimal("retry-ratio", settings.retry_ratio, 0, 10, "share",
                    "Maximum ratio of retries to requests for a service.");
   table.AddDecimal("retry-minimum", settings.retry_minimum, 0, 1'000'000,
--- a/src/programs/forward_settings.h
+++ b/src/programs/forward_settings.h
@@ -40,6 +40,8 @@
   std::int64_t max_reply_bytes = 4 * 1024 * 1024;
   // The limit of all incomplete replies together, in bytes.
   std::int64_t reply_memory_bytes = 32 * 1024 * 1024;
+  // The memory of the VM, in MiB.
+  std::int64_t memory_mib = 256;
   double retry_ratio = 0.2;
   double retry_minimum = 100;
   double retry_window_s = 10;
--- a/tests/platform/crowd.sh
+++ b/tests/platform/crowd.sh
@@ -5,7 +5,12 @@
 # and is killed. Checks nothing that depends on the machine's speed.
 set -euo pipefail
 kind=$1
-base=127.58
+# The sockets of a test that has just ended may still be in use, so that each kind
+# has addresses of its own.
+kinds=(bodies pieces chunks small-chunks heads pipelined unread)
+for number in "${!kinds[@]}"; do
+  [ "${kinds[$number]}" = "$kind" ] && base=127.$((90 + number))
+done
 clients=120
 body_bytes=$((1024 * 1024))
 max_body_bytes=$body_bytes
