Bound the free connections to a backend server

Callers saw: refused requests once the process had no descriptors left. Cause: a connection never carries the same request id twice, so that callers who repeat an id, or send none, need a new connection for each request; the old ones stayed open for up to 30 s, without a limit. Change: at most 32 free connections a server; the one that has been free for the longest time is closed.

--- a/src/net/forward/backend_links.cc
+++ b/src/net/forward/backend_links.cc
@@ -5,6 +5,15 @@
 
 namespace marigold {
 
+namespace {
+
+// A free link carries no request that it has carried before, so that callers
+// who repeat an id, or send none, need a new link for each request. More free
+// links than this are of no use to one entry VM.
+constexpr std::size_t kMaxFreeLinks = 32;
+
+}  // namespace
+
 std::shared_ptr<BackendLink> BackendLinks::Begin(ServerIndex server,
                                                  const Endpoint& endpoint,
                                                  Duration max_idle,
@@ -46,12 +55,22 @@
   link->Abandon(std::move(on_end));
 }
 
+void BackendLinks::AddFreeLink(ServerIndex server, const LinkPtr& link) {
+  std::vector<LinkPtr>& links = this->free_links[server];
+  links.push_back(link);
+  if (links.size() > kMaxFreeLinks) {
+    const LinkPtr oldest = links.front();
+    links.erase(links.begin());
+    oldest->Close();
+  }
+}
+
 BackendLinks::LinkPtr BackendLinks::CreateLink(ServerIndex server) {
   BackendLink::Events events;
   events.on_free = [weak = this->weak_from_this(),
                     server](const LinkPtr& link) {
     if (const auto self = weak.lock()) {
-      self->free_links[server].push_back(link);
+      self->AddFreeLink(server, link);
     }
   };
   events.on_closed = [weak = this->weak_from_this(),
--- a/src/net/forward/backend_links.h
+++ b/src/net/forward/backend_links.h
@@ -52,6 +52,9 @@
   using LinkPtr = std::shared_ptr<BackendLink>;
 
   LinkPtr CreateLink(ServerIndex server);
+  // Closes the link that has been free for the longest time if there are too
+  // many.
+  void AddFreeLink(ServerIndex server, const LinkPtr& link);
   // Returns a free link that may carry the request, or null. Closes the links
   // that it finds to be idle for too long.
   LinkPtr TakeFreeLink(ServerIndex server,
--- a/tests/backend_links_test.cc
+++ b/tests/backend_links_test.cc
@@ -128,8 +128,30 @@
      1},
 };
 
+// Links that are free and can't carry a request that they have carried before.
+constexpr std::size_t kMaxExpectedLinks = 32;
+
 }  // namespace
 
+// Guards against connections that pile up until the process has no descriptors
+// left, when a caller sends all its requests with the same id, or with none.
+Test(BackendLinks, RepeatedIdOpensBoundedConnections) {
+  WorkerPool pool(2);
+  const RepeatingServer server(pool);
+  const auto strand = std::make_shared<Strand>(pool);
+  const auto links = std::make_shared<BackendLinks>(strand, ReplyLimits{});
+  for (int i = 0; i < 200; ++i) {
+    Send(strand, links, "same");
+  }
+  std::promise<std::size_t> open_links;
+  strand->Post([&] { open_links.set_value(links->open_link_count()); });
+  const std::size_t actual = open_links.get_future().get();
+  pool.Stop();
+  cr_assert_leq(actual, kMaxExpectedLinks,
+                "expected at most %zu open connections, actual %zu",
+                kMaxExpectedLinks, actual);
+}
+
 ParameterizedTestParameters(BackendLinks, LateCopyIsNoReplyToASecondSend) {
   return RowIndices(kLateCopyRows);
 }
