Share the body of a request between its sends

Cause: each send of a request held its own copy of the body, besides the one in the template, and another one while the write was not finished; a fan-out with retries multiplies that. Change: the body is moved out of the request once and shared; a send has its own header only.

--- a/src/net/fan_out/grouped_call.h
+++ b/src/net/fan_out/grouped_call.h
@@ -184,6 +184,9 @@
     query.route = plan.route;
     query.request_prefix = this->encoded.send_template.prefix;
     query.request_suffix = this->encoded.send_template.suffix;
+    if (const auto& body = this->encoded.send_template.body) {
+      query.request_suffix += *body;
+    }
     query.is_head = this->encoded.is_head;
     query.max_attempts = step.max_attempts;
     query.time_left = std::max(plan.deadlines.give_up_at - now - transit_time,
--- a/src/net/forward/backend_link.cc
+++ b/src/net/forward/backend_link.cc
@@ -1,6 +1,7 @@
 #include "src/net/forward/backend_link.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/write.hpp>
 #include <utility>
 
@@ -22,6 +23,13 @@
 // backend server are shorter.
 constexpr Duration kAbandonedReplyTimeout = std::chrono::milliseconds(300);
 
+// A header and the body after its first bytes.
+std::array<asio::const_buffer, 2> BuffersOf(const std::string& head,
+                                            const std::string& body,
+                                            std::size_t body_offset) {
+  return {asio::buffer(head), asio::buffer(body) + body_offset};
+}
+
 }  // namespace
 
 BackendLink::BackendLink(std::shared_ptr<Strand> owning_strand,
@@ -111,9 +119,14 @@
 void BackendLink::Write() {
   ErrorCode error;
   const std::string& request_bytes = this->exchange->request_bytes;
+  const std::string* const body = this->exchange->request_body.get();
   const std::size_t sent =
-      this->socket.write_some(asio::buffer(request_bytes), error);
-  if (!error && sent == request_bytes.size()) {
+      body != nullptr
+          ? this->socket.write_some(BuffersOf(request_bytes, *body, 0), error)
+          : this->socket.write_some(asio::buffer(request_bytes), error);
+  const std::size_t total =
+      request_bytes.size() + (body != nullptr ? body->size() : 0);
+  if (!error && sent == total) {
     this->is_written = true;
     return;
   }
@@ -121,9 +134,20 @@
     // The pending read reports the end of the connection.
     return;
   }
-  auto rest = std::make_shared<std::string>(request_bytes.substr(sent));
-  asio::async_write(this->socket, asio::buffer(*rest),
-                    [self = this->shared_from_this(), rest](
+  this->WriteRest(sent);
+}
+
+// The exchange may end before the write does, so the bytes are kept apart.
+void BackendLink::WriteRest(std::size_t sent) {
+  static const auto kNoBody = std::make_shared<const std::string>();
+  const std::string& request_bytes = this->exchange->request_bytes;
+  const auto body =
+      this->exchange->request_body ? this->exchange->request_body : kNoBody;
+  const std::size_t head_sent = std::min(sent, request_bytes.size());
+  const auto head =
+      std::make_shared<const std::string>(request_bytes.substr(head_sent));
+  asio::async_write(this->socket, BuffersOf(*head, *body, sent - head_sent),
+                    [self = this->shared_from_this(), head, body](
                         const ErrorCode& failed, std::size_t /*size*/) {
                       self->OnWritten(failed);
                     });
--- a/src/net/forward/backend_link.h
+++ b/src/net/forward/backend_link.h
@@ -30,8 +30,11 @@
 struct LinkExchange {
   // The request's id, which all sends of one request share.
   RequestId request;
-  // The encoded request.
+  // The encoded request, or its header if it has a body that is shared with
+  // other sends.
   std::string request_bytes;
+  // Null if there is none.
+  std::shared_ptr<const std::string> request_body{};
   // The reply to a HEAD request has no body, whatever its Content-Length says.
   bool is_head = false;
   // Returns false for a reply to another request. Such a reply is skipped.
@@ -160,6 +163,8 @@
 
   void OnConnected(const ErrorCode& error);
   void Write();
+  // Writes what is left after `sent` bytes of the request.
+  void WriteRest(std::size_t sent);
   void OnWritten(const ErrorCode& error);
   void AwaitBytes();
   void OnReadable(const ErrorCode& error);
--- a/src/net/forward/forward_run.h
+++ b/src/net/forward/forward_run.h
@@ -160,6 +160,7 @@
     exchange.request_bytes = MessageCodec::WriteSend(
         this->encoded.send_template,
         {server.server, this->forwarding.deadline() - this->Now()});
+    exchange.request_body = this->encoded.send_template.body;
     exchange.is_head = this->encoded.is_head;
     exchange.is_expected = [id = this->encoded.request](
                                const BackendReply& reply) {
--- a/src/net/forward/forwarder.h
+++ b/src/net/forward/forwarder.h
@@ -241,9 +241,7 @@
   // process alone.
   bool UsesGroups(const ForwardPlan& plan, const EncodedRequest& encoded) {
     return plan.is_fan_out && plan.is_idempotent &&
-           encoded.send_template.prefix.size() +
-                   encoded.send_template.suffix.size() <=
-               kMaxGroupedRequestBytes &&
+           encoded.send_template.size() <= kMaxGroupedRequestBytes &&
            this->fan_out_context.aggregators.Access(
                [&](const AggregatorDirectory& directory) {
                  return directory.PrefersGroups(plan.targets.size());
--- a/src/net/forward/message_codec.h
+++ b/src/net/forward/message_codec.h
@@ -2,6 +2,8 @@
 #define SRC_NET_FORWARD_MESSAGE_CODEC_H_
 
 #include <concepts>
+#include <cstddef>
+#include <memory>
 #include <optional>
 #include <span>
 #include <string>
@@ -32,11 +34,20 @@
   Duration time_left{};
 };
 
-// The bytes that all sends of one request share, before and after the fields of
-// `SendMetadata`. A fan-out encodes them once and not for each shard.
+// The bytes that all sends of one request share. A fan-out encodes them once
+// and not for each shard.
 struct SendTemplate {
+  // The header before and after the fields of `SendMetadata`.
   std::string prefix;
   std::string suffix;
+  // Null if the request has no body. All sends share it, because it may be
+  // large and many may be in progress.
+  std::shared_ptr<const std::string> body{};
+
+  std::size_t size() const {
+    return this->prefix.size() + this->suffix.size() +
+           (this->body ? this->body->size() : 0);
+  }
 };
 
 // The fields that a backend server sends along with its reply.
@@ -74,6 +85,7 @@
 // Reads and writes the HTTP messages of one front end. Makes no decisions.
 template <class T>
 concept ForwardMessageCodec = requires(const CallerRequest& request,
+                                       CallerRequest& consumed_request,
                                        const SendTemplate& send_template,
                                        const SendMetadata& send,
                                        const BackendReply& reply,
@@ -81,7 +93,9 @@
                                        const MergedAnswer& merged,
                                        bool closes_connection) {
   { T::ReadCaller(request) } -> std::same_as<CallerMetadata>;
-  { T::MakeSendTemplate(request) } -> std::same_as<SendTemplate>;
+  // Takes the body out of the request.
+  { T::MakeSendTemplate(consumed_request) } -> std::same_as<SendTemplate>;
+  // Returns the header of a send. The body follows it.
   { T::WriteSend(send_template, send) } -> std::same_as<std::string>;
   { T::RequestIdOf(reply) } -> std::same_as<std::string_view>;
   { T::ReadReply(reply) } -> std::same_as<ReplyMetadata>;
--- a/tests/http_dialect_test.cc
+++ b/tests/http_dialect_test.cc
@@ -212,9 +212,13 @@
 // expected instance were forwarded, the server would work beyond the deadline,
 // or another server than the chosen one could run the request.
 Test(HttpDialect, SendForwardsRequestAndReplacesOwnFields) {
-  const std::string sent = HttpDialect::WriteSend(
-      HttpDialect::MakeSendTemplate(MakeRequest()),
-      {BackendServerId("i-1"), std::chrono::milliseconds(250)});
+  CallerRequest request = MakeRequest();
+  const SendTemplate parts = HttpDialect::MakeSendTemplate(request);
+  cr_assert(parts.body != nullptr, "expected a body, actual none");
+  const std::string sent =
+      HttpDialect::WriteSend(
+          parts, {BackendServerId("i-1"), std::chrono::milliseconds(250)}) +
+      *parts.body;
   cr_assert(sent.starts_with("POST /x/1?q=a%20b HTTP/1.1\r\n"));
   cr_assert(sent.ends_with("Content-Length: 4\r\n\r\nbody"));
   cr_assert(Contains(sent, "X-Request-Id: id-1\r\n"));
--- a/tests/platform/crowd.sh
+++ b/tests/platform/crowd.sh
@@ -7,7 +7,7 @@
 kind=$1
 # The sockets of a test that has just ended may still be in use, so that each kind
 # has addresses of its own.
-kinds=(bodies pieces chunks small-chunks heads pipelined unread)
+kinds=(bodies pieces chunks small-chunks heads pipelined unread complete)
 for number in "${!kinds[@]}"; do
   [ "${kinds[$number]}" = "$kind" ] && base=127.$((90 + number))
 done
@@ -25,6 +25,8 @@
 esac
 case $kind in
   unread) path=/act/large ;;
+  # A fan-out to servers that do not answer, so that the bodies stay in progress.
+  complete) path=/x/silent ;;
   *) path=/act/crowd ;;
 esac
 . "$(dirname "$0")/system.sh"
--- a/tests/platform/crowd_client.cc
+++ b/tests/platform/crowd_client.cc
@@ -1,4 +1,4 @@
-// Simulates many clients that do not behave, for platform_crowd.sh. Each one
+// Simulates many clients that do not behave, for crowd.sh. Each one
 // sends a request of legal size but for its end, or takes no answer, and keeps
 // its connection open. Prints one line once every client has sent what it sends
 // or was refused, then runs until a signal ends it.
@@ -83,8 +83,10 @@
     }
     return requests;
   }
+  const std::size_t sent_bytes =
+      settings.kind == "complete" ? bytes : bytes - 1;
   return Head(settings, "POST", fmt::format("Content-Length: {}\r\n", bytes)) +
-         std::string(bytes - 1, 'b');
+         std::string(sent_bytes, 'b');
 }
 
 // One client's connection.
@@ -201,8 +203,8 @@
                                 "Clients that do not behave, for tests.");
   table.AddEndpoint("target", settings.target, "Address to connect to.");
   table.AddChoice("kind", settings.kind,
-                  {"bodies", "pieces", "chunks", "small-chunks", "heads",
-                   "pipelined", "unread"},
+                  {"bodies", "complete", "pieces", "chunks", "small-chunks",
+                   "heads", "pipelined", "unread"},
                   "What the clients send, and where they stop.");
   table.AddText("path", settings.path, "path", "Path of the requests.");
   table.AddNumber("clients", settings.clients, 1, 10'000, "clients",
