Test that whole requests arrive with a shared body

Cause: the body of a request is shared between its sends and written apart from the header. Change: backend_link_test sends three requests at a time, with headers and bodies that are written in several steps.

--- a/tests/backend_link_test.cc
+++ b/tests/backend_link_test.cc
@@ -5,8 +5,10 @@
 #include <fmt/format.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <chrono>
 #include <future>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -17,6 +19,7 @@
 #include <vector>
 
 #include "src/net/forward/backend_links.h"
+#include "tests/await.h"
 #include "tests/row_indices.h"
 #include "tests/tcp_server.h"
 
@@ -33,7 +36,6 @@
 
 constexpr std::size_t kMaxReplyBytes = 64 * 1024;
 constexpr std::size_t kMaxTotalBytes = 96 * 1024;
-constexpr auto kWaitLimit = std::chrono::seconds(10);
 
 // What the server does after the scripted bytes.
 enum class End { kStaysOpen, kCloses, kResets, kRepeatsForever };
@@ -384,4 +386,75 @@
                 *index, memory.used_bytes());
 }
 
+struct BodyRow {
+  const char* scenario;
+  std::size_t head_bytes;
+  // Absent for a request without a body.
+  std::optional<std::size_t> body_bytes;
+};
+
+// Sizes of more than some 100 KB are written in several steps.
+const BodyRow kBodyRows[] = {
+    {"no body", 100, {}},
+    {"a short body", 100, 10},
+    {"a body that is written in several steps", 100, 8'000'000},
+    {"a header that is written in several steps", 8'000'000, 10},
+    {"both", 8'000'000, 8'000'000},
+};
+
+ParameterizedTestParameters(BackendLink, WholeRequestArrives) {
+  return RowIndices(kBodyRows);
+}
+
+// Guards against a server that gets other bytes than the caller sent, and
+// against sends that disturb each other because they share a body.
+ParameterizedTest(std::size_t* index, BackendLink, WholeRequestArrives) {
+  const BodyRow& row = kBodyRows[*index];
+  constexpr std::size_t kSends = 3;
+  std::string head;
+  std::shared_ptr<std::string> body;
+  for (std::size_t i = 0; i < row.head_bytes; ++i) {
+    head += static_cast<char>('a' + i % 23);
+  }
+  if (row.body_bytes) {
+    body = std::make_shared<std::string>();
+    for (std::size_t i = 0; i < *row.body_bytes; ++i) {
+      *body += static_cast<char>('A' + i % 19);
+    }
+  }
+  const std::string expected = head + (body ? *body : "");
+  std::mutex mutex;
+  std::map<TcpStream*, std::string> received;
+  WorkerPool pool(2);
+  const TcpServer server(pool, Address(),
+                         [&](TcpStream& stream, std::string_view bytes) {
+                           const std::lock_guard lock(mutex);
+                           received[&stream] += bytes;
+                         });
+  const auto strand = std::make_shared<Strand>(pool);
+  const auto links = std::make_shared<BackendLinks>(strand, ReplyLimits{});
+  strand->Post([&] {
+    for (std::size_t i = 0; i < kSends; ++i) {
+      LinkExchange exchange = MakeExchange([](const LinkOutcome&) {});
+      exchange.request_bytes = head;
+      exchange.request_body = body;
+      links->Begin(ServerIndex(1), Address(), std::chrono::seconds(10),
+                   std::move(exchange));
+    }
+  });
+  const bool have_arrived = Await(
+      pool,
+      [&] {
+        const std::lock_guard lock(mutex);
+        return received.size() == kSends &&
+               std::all_of(
+                   received.begin(), received.end(),
+                   [&](const auto& entry) { return entry.second == expected; });
+      },
+      kWaitLimit);
+  pool.Stop();
+  cr_assert(have_arrived, "%s: expected %zu requests of %zu bytes, actual %zu",
+            row.scenario, kSends, expected.size(), received.size());
+}
+
 }  // namespace marigold
