Give a new caller the connection of one that makes no progress

Callers saw: no answer at all for up to 13 s, while clients that do not behave hold all connections. Cause: a connection beyond the limit was closed at once, whatever the others did with theirs. Change: such a connection takes the place of one that carries no request in progress: first one whose request or answer has been on its way for 1 s, then an idle one, the one unchanged for the longest time first.

--- a/src/net/forward/caller_listener.cc
+++ b/src/net/forward/caller_listener.cc
@@ -22,6 +22,10 @@
 // file descriptors for a while.
 constexpr Duration kAcceptRetryDelay = std::chrono::milliseconds(100);
 
+// A caller that behaves sends its request and takes the answer within this
+// time.
+constexpr Duration kSlowTransfer = std::chrono::seconds(1);
+
 struct StrandSessions {
   std::shared_ptr<Strand> strand;
   std::shared_ptr<CallerHandlers> handlers;
@@ -110,22 +114,63 @@
 
   void AddSession(const std::shared_ptr<StrandSessions>& strand_sessions,
                   tcp::socket socket) {
-    if (this->connection_count >= this->max_connections) {
-      LogEvent(LogLevel::kWarning, "connection_refused",
-               {{"connections", this->connection_count.load()}});
-      return;
-    }
     ++this->connection_count;
     auto session = std::make_shared<CallerSession>(
         strand_sessions->strand, std::move(socket), strand_sessions->handlers,
         this->shutdown_state);
     asio::dispatch(strand_sessions->strand->executor(),
-                   [strand_sessions, session] {
-                     strand_sessions->sessions.emplace(session.get(), session);
-                     session->Start();
+                   [self = this->shared_from_this(), strand_sessions, session] {
+                     self->StartSession(*strand_sessions, session);
                    });
   }
 
+  // Starts a session, and evicts another one if there are too many. Closes the
+  // new connection if all others have a request in progress.
+  void StartSession(StrandSessions& strand_sessions,
+                    const std::shared_ptr<CallerSession>& session) {
+    if (this->connection_count > this->max_connections &&
+        !EvictOne(strand_sessions)) {
+      LogEvent(LogLevel::kWarning, "connection_refused",
+               {{"connections", this->connection_count.load()}});
+      this->OnSessionClosed();
+      return;
+    }
+    strand_sessions.sessions.emplace(session.get(), session);
+    session->Start();
+  }
+
+  // Evicts the session that others can spare most. Returns false if there is
+  // none.
+  static bool EvictOne(const StrandSessions& strand_sessions) {
+    const MonotonicTime now = strand_sessions.strand->Now();
+    std::shared_ptr<CallerSession> victim;
+    for (const auto& [raw, session] : strand_sessions.sessions) {
+      if (!session->has_request() &&
+          (!victim ||
+           EvictionRank(now, *session) > EvictionRank(now, *victim))) {
+        victim = session;
+      }
+    }
+    if (victim) {
+      victim->Evict();
+      // Its descriptor is needed now.
+      victim->StopLingering();
+    }
+    return victim != nullptr;
+  }
+
+  // Callers that take long to send a request or to take an answer come first,
+  // then idle connections, then requests that have just begun to arrive; among
+  // equal ones the one that has not changed for the longest time.
+  static std::pair<int, Duration> EvictionRank(MonotonicTime now,
+                                               const CallerSession& session) {
+    const Duration unchanged_time = now - session.unchanged_since();
+    if (session.is_idle()) {
+      return {1, unchanged_time};
+    }
+    return {unchanged_time >= kSlowTransfer ? 2 : 0, unchanged_time};
+  }
+
   void OnSessionClosed() {
     if (--this->connection_count == 0 && this->shutdown_state->is_draining) {
       this->ReportDrained();
--- a/src/net/forward/caller_listener.h
+++ b/src/net/forward/caller_listener.h
@@ -21,8 +21,9 @@
   using MakeHandlers =
       std::function<CallerHandlers(const std::shared_ptr<Strand>&)>;
 
-  // Listens on `endpoint`. Fails with `IoError`. Connections beyond
-  // `max_connections` are closed at once.
+  // Listens on `endpoint`. Fails with `IoError`. A connection beyond
+  // `max_connections` takes the place of one that carries no request in
+  // progress. It is closed at once if there is none.
   static Result<std::unique_ptr<CallerListener>> Listen(
       WorkerPool& pool,
       const Endpoint& endpoint,
--- a/src/net/forward/caller_session.cc
+++ b/src/net/forward/caller_session.cc
@@ -34,9 +34,9 @@
 // bounds what they hold together.
 constexpr std::size_t kUncountedBytes = 8 * 1024;
 
-// When memory is short, requests that make no progress are evicted within this
-// time.
-constexpr std::string_view kMemoryRetryAfter = "Retry-After: 1\r\n";
+// Memory and connections are taken from callers that make no progress, so that
+// there is room again soon.
+constexpr std::string_view kRetryAfter = "Retry-After: 1\r\n";
 
 constexpr int kBadRequest = 400;
 constexpr int kRequestTimeout = 408;
@@ -187,7 +187,7 @@
   }
   const bool is_done = this->parser->is_done();
   if (!this->HoldMemory(this->RequestBytes(), !is_done)) {
-    this->RefuseForMemory();
+    this->RefuseIncomplete("too many large requests at the same time");
     return;
   }
   if (is_done) {
@@ -215,8 +215,8 @@
       fmt::format("HTTP/1.1 {} {}\r\nContent-Type: text/plain\r\n{}"
                   "Content-Length: {}\r\nConnection: close\r\n\r\n{}",
                   status, std::string_view(reason.data(), reason.size()),
-                  status == kMemoryShortStatus ? kMemoryRetryAfter : "",
-                  detail.size(), detail),
+                  status == kRoomShortStatus ? kRetryAfter : "", detail.size(),
+                  detail),
       true);
 }
 
@@ -243,19 +243,18 @@
 
 void CallerSession::Evict() {
   if (this->state == State::kReading) {
-    this->RefuseForMemory();
+    this->RefuseIncomplete("other requests need the room of this one");
   } else {
     this->Close();
   }
 }
 
-// The request was not passed on, so the answer promises that it did not run.
-void CallerSession::RefuseForMemory() {
-  this->handlers->on_memory_short(this->parser->get());
+void CallerSession::RefuseIncomplete(std::string_view detail) {
+  this->handlers->on_room_short(this->parser->get());
   this->handlers->memory->Release(this);
   this->parser.emplace();
   this->buffer = {};
-  this->Refuse(kMemoryShortStatus, "too many large requests at the same time");
+  this->Refuse(kRoomShortStatus, detail);
 }
 
 void CallerSession::Answer(std::string bytes, bool closes_connection) {
@@ -318,6 +317,12 @@
   this->AwaitBytes();
 }
 
+void CallerSession::StopLingering() {
+  if (this->state == State::kLingering) {
+    this->Close();
+  }
+}
+
 void CallerSession::CloseIfIdle() {
   ErrorCode error;
   if (this->state == State::kIdle && this->buffer.size() == 0 &&
--- a/src/net/forward/caller_session.h
+++ b/src/net/forward/caller_session.h
@@ -39,8 +39,8 @@
   // Returns the limits that are in force now.
   std::function<CallerLimits()> limits;
   // Called when a request, which may be incomplete, is refused for want of
-  // memory.
-  std::function<void(const CallerRequest&)> on_memory_short =
+  // memory or connections.
+  std::function<void(const CallerRequest&)> on_room_short =
       [](const CallerRequest&) {};
   // What the sessions of the strand hold together.
   std::shared_ptr<CallerSessionMemory> memory =
@@ -62,8 +62,8 @@
 // even while the process shuts down. Used only on its strand.
 class CallerSession : public std::enable_shared_from_this<CallerSession> {
  public:
-  // The status of a request that is refused for want of memory.
-  static constexpr int kMemoryShortStatus = 503;
+  // The status of a request that is refused for want of memory or connections.
+  static constexpr int kRoomShortStatus = 503;
 
   CallerSession(std::shared_ptr<Strand> owning_strand,
                 boost::asio::ip::tcp::socket accepted,
@@ -85,6 +85,14 @@
   // Closes the connection if no byte of a new request has arrived.
   void CloseIfIdle();
 
+  // Gives up an incomplete request, an answer that the caller does not take or
+  // an idle connection, so that others can be served. Must not be called while
+  // a request is in progress.
+  void Evict();
+
+  // Closes the connection if its last answer has been written.
+  void StopLingering();
+
   // Closes a connection that has been idle for too long or takes an answer too
   // slowly. A request that arrives too slowly is refused with status 408.
   void CheckTimeouts(MonotonicTime now);
@@ -98,6 +106,11 @@
     return this->measured_round_trip;
   }
   bool has_request() const { return this->state == State::kHandling; }
+  // True between two requests.
+  bool is_idle() const { return this->state == State::kIdle; }
+  // The time since which the connection has been idle or has had the same
+  // request or answer on its way.
+  MonotonicTime unchanged_since() const { return this->state_began_at; }
 
  private:
   using ErrorCode = boost::system::error_code;
@@ -125,10 +138,8 @@
   // Counts the bytes that this session holds. If memory is short, others that
   // make no progress are evicted. Returns false if that is not enough.
   bool HoldMemory(std::size_t bytes, bool is_evictable);
-  // Gives up the incomplete request or the answer that the caller does not
-  // take.
-  void Evict();
-  void RefuseForMemory();
+  // Refuses a request that was not passed on, and releases its memory.
+  void RefuseIncomplete(std::string_view detail);
   // The bytes of the request that has arrived so far.
   std::size_t RequestBytes() const;
   void OnWritten(const ErrorCode& error);
--- a/src/net/forward/forwarder.h
+++ b/src/net/forward/forwarder.h
@@ -62,11 +62,10 @@
         [self = this->shared_from_this()](const SessionPtr& session) {
           self->OnDisconnected(session);
         };
-    handlers.on_memory_short =
-        [self = this->shared_from_this()](const CallerRequest& request) {
-          self->LogRefusal(request, CallerSession::kMemoryShortStatus,
-                           "memory_short");
-        };
+    handlers.on_room_short = [self = this->shared_from_this()](
+                                 const CallerRequest& request) {
+      self->LogRefusal(request, CallerSession::kRoomShortStatus, "room_short");
+    };
     handlers.memory = std::make_shared<CallerSessionMemory>(
         this->context.caller_memory_bytes);
     handlers.limits = [self = this->shared_from_this()] {
--- a/tests/caller_session_test.cc
+++ b/tests/caller_session_test.cc
@@ -71,6 +71,33 @@
 
 }  // namespace
 
+// Guards against callers that get no connection, because others have taken all
+// of them and send no whole request.
+Test(CallerSession, NewCallerTakesThePlaceOfAnIncompleteRequest) {
+  WorkerPool pool(1);
+  auto listening = Capture<std::unique_ptr<CallerListener>>([&] {
+    return CallerListener::Listen(
+        pool, Address(), {std::make_shared<Strand>(pool)}, kMaxConnections,
+        [](const std::shared_ptr<Strand>&) { return AnsweringHandlers(); });
+  });
+  const auto& listener = std::get<std::unique_ptr<CallerListener>>(listening);
+  std::vector<std::unique_ptr<RawClient>> crowd;
+  for (std::size_t i = 0; i < 2 * kMaxConnections; ++i) {
+    crowd.push_back(std::make_unique<RawClient>(Address()));
+    crowd.back()->Send("GET / HTTP/1.1\r\nX-Unfinished: ");
+  }
+  RawClient client(Address());
+  client.Send("GET / HTTP/1.1\r\n\r\n");
+  const std::string answer = client.Receive("\r\n\r\n");
+  const std::size_t open_connections = listener->open_connections();
+  pool.Stop();
+  cr_assert(answer.starts_with("HTTP/1.1 200"), "expected 200, actual \"%s\"",
+            answer.c_str());
+  cr_assert_leq(open_connections, kMaxConnections,
+                "expected at most %zu connections, actual %zu", kMaxConnections,
+                open_connections);
+}
+
 ParameterizedTestParameters(CallerSession, RequestWithoutEndIsRefused) {
   return RowIndices(kRequestRows);
 }
--- a/tests/platform/crowd.sh
+++ b/tests/platform/crowd.sh
@@ -1,13 +1,14 @@
 #!/usr/bin/env bash
 # Tests that an entry VM outlives clients that do not behave: crowd.sh KIND, where
-# KIND is one of crowd_client's. Many requests of legal size stop just short of their
+# KIND is one of crowd_client's, or "connections" for more clients than the process has
+# connections for. Many requests of legal size stop just short of their
 # end and stay open. If it is wrong, the process needs more memory than its VM has
 # and is killed. Checks nothing that depends on the machine's speed.
 set -euo pipefail
 kind=$1
 # The sockets of a test that has just ended may still be in use, so that each kind
 # has addresses of its own.
-kinds=(bodies pieces chunks small-chunks heads pipelined unread complete)
+kinds=(bodies pieces chunks small-chunks heads pipelined unread complete connections)
 for number in "${!kinds[@]}"; do
   [ "${kinds[$number]}" = "$kind" ] && base=127.$((90 + number))
 done
@@ -20,7 +21,7 @@
 # others.
 max_descriptors=$((clients + 250))
 case $kind in
-  heads) client_bytes=16000 ;;
+  heads | connections) client_bytes=16000 ;;
   *) client_bytes=$body_bytes ;;
 esac
 case $kind in
@@ -29,6 +30,8 @@
   complete) path=/x/silent ;;
   *) path=/act/crowd ;;
 esac
+# The crowd alone would take all connections.
+[ "$kind" = connections ] && export MARIGOLD_CONNECTIONS=100
 . "$(dirname "$0")/system.sh"
 export MARIGOLD_MEMORY_MB=$memory_mb
 
@@ -53,7 +56,7 @@
   ok "$1: peak $peak_kb kB (bound $((memory_mb * 1024))), $descriptors descriptors"
 }
 start_crowd() {
-  "$bin/crowd-client" --target=$net.11:8080 --kind="$kind" --path=$path \
+  "$bin/crowd-client" --target=$net.11:8080 --kind="${kind/connections/heads}" --path=$path \
     --clients=$clients --bytes=$client_bytes >"$work/crowd$1" 2>&1 &
   pids[crowd$1]=$!
   disown
