Bound the connections of requests in progress

Callers saw: refused connections once a crowd of ordinary requests to servers that do not answer had used all descriptors; each request takes as many connections as its route has shards, and more for second sends. Cause: nothing bounded them; half of the descriptors of the VM could be taken by callers, any number by sends. The test now records the highest number at any time. Change: all descriptors but 300 (--open-files) are for connections, half of them for callers. A request begins only if its sends and those in progress take at most half of the other half; else it is refused at once with 503 and a time to come back. A free connection is closed when there are as many as there may be.

--- a/src/net/fan_out/group_query_server.h
+++ b/src/net/fan_out/group_query_server.h
@@ -91,7 +91,8 @@
       this->RefuseMessage(link, "a query with the id of another one");
       return;
     }
-    if (this->call_count >= kMaxCalls || this->is_draining) {
+    if (this->call_count >= kMaxCalls || this->is_draining ||
+        !this->context.links->HasRoomFor(query.shards.size())) {
       LogEvent(LogLevel::kWarning, "group_query_refused",
                {{"request", query.request.value()},
                 {"reason", this->is_draining ? "stopping" : "too_many_queries"},
--- a/src/net/forward/backend_links.cc
+++ b/src/net/forward/backend_links.cc
@@ -39,6 +39,7 @@
     }
     LinkPtr link = std::move(candidates[i]);
     candidates.erase(candidates.begin() + static_cast<std::ptrdiff_t>(i));
+    --this->free_count;
     if (link->IsUsable(now, max_idle)) {
       return link;
     }
@@ -58,13 +59,24 @@
 void BackendLinks::AddFreeLink(ServerIndex server, const LinkPtr& link) {
   std::vector<LinkPtr>& links = this->free_links[server];
   links.push_back(link);
+  ++this->free_count;
   if (links.size() > kMaxFreeLinks) {
     const LinkPtr oldest = links.front();
-    links.erase(links.begin());
     oldest->Close();
   }
 }
 
+void BackendLinks::MakeRoom() {
+  if (this->open_count < this->link_limit || this->free_count == 0) {
+    return;
+  }
+  const auto found =
+      std::find_if(this->free_links.begin(), this->free_links.end(),
+                   [](const auto& entry) { return !entry.second.empty(); });
+  const LinkPtr oldest = found->second.front();
+  oldest->Close();
+}
+
 BackendLinks::LinkPtr BackendLinks::CreateLink(ServerIndex server) {
   BackendLink::Events events;
   events.on_free = [weak = this->weak_from_this(),
@@ -77,9 +89,10 @@
                       server](const LinkPtr& link) {
     if (const auto self = weak.lock()) {
       --self->open_count;
-      std::erase(self->free_links[server], link);
+      self->free_count -= std::erase(self->free_links[server], link);
     }
   };
+  this->MakeRoom();
   auto link =
       std::make_shared<BackendLink>(this->strand, this->reply_memory,
                                     this->max_body_bytes, std::move(events));
@@ -93,7 +106,9 @@
   if (found == this->free_links.end()) {
     return;
   }
-  for (const LinkPtr& link : std::exchange(found->second, {})) {
+  const std::vector<LinkPtr> retired = std::exchange(found->second, {});
+  this->free_count -= retired.size();
+  for (const LinkPtr& link : retired) {
     link->Close();
   }
   this->free_links.erase(server);
--- a/src/net/forward/backend_links.h
+++ b/src/net/forward/backend_links.h
@@ -17,8 +17,14 @@
 // on the strand.
 class BackendLinks : public std::enable_shared_from_this<BackendLinks> {
  public:
-  BackendLinks(std::shared_ptr<Strand> owning_strand, const ReplyLimits& limits)
+  static constexpr std::size_t kDefaultMaxLinks = 2'000;
+
+  // `max_links` is the number of links that may be open at the same time.
+  BackendLinks(std::shared_ptr<Strand> owning_strand,
+               const ReplyLimits& limits,
+               std::size_t max_links = kDefaultMaxLinks)
       : strand(std::move(owning_strand)),
+        link_limit(max_links),
         max_body_bytes(limits.max_reply_bytes),
         reply_memory(std::make_shared<ReplyMemory>(limits.max_total_bytes)) {}
 
@@ -41,6 +47,13 @@
   // Closes the free links to a server that gets no new requests.
   void Retire(ServerIndex server);
 
+  // True if a request with this number of sends may begin. Half of the links
+  // are left for the second sends of requests in progress. A request that is
+  // alone may always begin.
+  bool HasRoomFor(std::size_t sends) const {
+    const std::size_t busy_count = this->open_count - this->free_count;
+    return busy_count == 0 || busy_count + sends <= this->link_limit / 2;
+  }
   // Number of links that are open or being opened.
   std::size_t open_link_count() const { return this->open_count; }
   // The memory that incomplete replies take, in bytes.
@@ -52,6 +65,8 @@
   using LinkPtr = std::shared_ptr<BackendLink>;
 
   LinkPtr CreateLink(ServerIndex server);
+  // Closes a free link if there are as many links as there may be.
+  void MakeRoom();
   // Closes the link that has been free for the longest time if there are too
   // many.
   void AddFreeLink(ServerIndex server, const LinkPtr& link);
@@ -62,10 +77,13 @@
                        const RequestId& request);
 
   std::shared_ptr<Strand> strand;
+  std::size_t link_limit;
   std::size_t max_body_bytes;
   std::shared_ptr<ReplyMemory> reply_memory;
   std::unordered_map<ServerIndex, std::vector<LinkPtr>> free_links;
   std::size_t open_count = 0;
+  // The number of links in `free_links`.
+  std::size_t free_count = 0;
   std::size_t opened_count = 0;
 };
 
--- a/src/net/forward/forwarder.h
+++ b/src/net/forward/forwarder.h
@@ -31,6 +31,8 @@
   ReplyLimits reply_limits;
   // What the requests and answers of the callers of one strand may take.
   std::size_t caller_memory_bytes = CallerHandlers::kDefaultCallerMemoryBytes;
+  // The connections to backend servers of one strand.
+  std::size_t max_links = BackendLinks::kDefaultMaxLinks;
 };
 
 // Takes the requests of one strand, finds the route of each and starts a call.
@@ -42,7 +44,8 @@
             const ForwardContext& forward_context)
       : context(forward_context),
         links(std::make_shared<BackendLinks>(strand,
-                                             forward_context.reply_limits)),
+                                             forward_context.reply_limits,
+                                             forward_context.max_links)),
         call_context{strand, links, forward_context.backends,
                      forward_context.metrics},
         fan_out_context{forward_context.aggregators,
@@ -148,6 +151,9 @@
   // would get a copy.
   static constexpr std::size_t kMaxGroupedRequestBytes = 16 * 1024;
 
+  // Most requests in progress end within this time.
+  static constexpr Duration kBusyRetryAfter = std::chrono::milliseconds(200);
+
   static constexpr int kStatusNotFound = 404;
   static constexpr Duration kDrainCheckInterval = std::chrono::milliseconds(20);
 
@@ -212,6 +218,12 @@
     } else {
       plan.targets = {this->service_choices[route.name].Choose(route.services)};
     }
+    if (!this->links->HasRoomFor(plan.targets.size())) {
+      this->Refuse(session, request, "too_many_sends",
+                   {kStatusUnavailable, "too many requests are in progress",
+                    kBusyRetryAfter});
+      return;
+    }
     CallerSide caller{
         session, caller_metadata.request, version, false,
         [weak = this->weak_from_this(), session_key = session.get()] {
--- a/src/programs/forward_process.h
+++ b/src/programs/forward_process.h
@@ -129,6 +129,14 @@
     return settings.memory_mib * kMiB / kParts / settings.workers;
   }
 
+  // The connections that callers may have at most, and what is left for those
+  // to backend servers.
+  static std::int64_t HalfOfDescriptors(const ForwardSettings& settings) {
+    // Files, listeners, connections to control VMs and to other entry VMs.
+    constexpr std::int64_t kOtherDescriptors = 300;
+    return (settings.max_open_files - kOtherDescriptors) / 2;
+  }
+
   static ReplyLimits ToReplyLimits(const ForwardSettings& settings) {
     return {static_cast<std::size_t>(settings.max_reply_bytes),
             static_cast<std::size_t>(
@@ -158,7 +166,9 @@
         [this] { return this->knows_routes(); },
         this->lifecycle,
         ToReplyLimits(this->settings),
-        static_cast<std::size_t>(MemoryShare(this->settings))};
+        static_cast<std::size_t>(MemoryShare(this->settings)),
+        static_cast<std::size_t>(HalfOfDescriptors(this->settings) /
+                                 this->settings.workers)};
     std::vector<std::shared_ptr<Strand>> strands;
     for (std::int64_t i = 0; i < this->settings.workers; ++i) {
       strands.push_back(std::make_shared<Strand>(this->pool));
@@ -166,14 +176,15 @@
           {strands.back(),
            std::make_shared<StrandForwarder>(strands.back(), shared)});
     }
-    BOOST_LEAF_ASSIGN(
-        this->caller_listener,
-        CallerListener::Listen(
-            this->pool, this->settings.listen, strands,
-            static_cast<std::size_t>(this->settings.max_connections),
-            [this](const std::shared_ptr<Strand>& strand) {
-              return this->ForwarderOf(strand)->CreateHandlers();
-            }));
+    BOOST_LEAF_ASSIGN(this->caller_listener,
+                      CallerListener::Listen(
+                          this->pool, this->settings.listen, strands,
+                          static_cast<std::size_t>(
+                              std::min(this->settings.max_connections,
+                                       HalfOfDescriptors(this->settings))),
+                          [this](const std::shared_ptr<Strand>& strand) {
+                            return this->ForwarderOf(strand)->CreateHandlers();
+                          }));
     BOOST_LEAF_ASSIGN(this->admin, HttpServer::Listen(
                                        this->pool, this->settings.admin, {},
                                        [this](const HttpRequest& request,
--- a/src/programs/forward_settings.cc
+++ b/src/programs/forward_settings.cc
@@ -16,6 +16,10 @@
   table.AddNumber("connections", settings.max_connections, 1, 1'000'000,
                   "connections",
                   "Maximum number of open connections of callers.");
+  table.AddNumber("open-files", settings.max_open_files, 400, 1'000'000,
+                  "descriptors",
+                  "Descriptors that the process may open. All but 300 are for "
+                  "connections, half of them for callers.");
   table.AddNumber("reply-bytes", settings.max_reply_bytes, 1'024,
                   256 * 1024 * 1024, "bytes",
                   "Maximum size of a backend server's reply body. A longer "
--- a/src/programs/forward_settings.h
+++ b/src/programs/forward_settings.h
@@ -37,6 +37,8 @@
   Endpoint server_list{"127.0.0.1", 7300};
   std::int64_t workers = 1;
   std::int64_t max_connections = 2'000;
+  // The descriptors that the process may open.
+  std::int64_t max_open_files = 4'300;
   std::int64_t max_reply_bytes = 4 * 1024 * 1024;
   // The limit of all incomplete replies together, in bytes.
   std::int64_t reply_memory_bytes = 32 * 1024 * 1024;
--- a/tests/backend_links_test.cc
+++ b/tests/backend_links_test.cc
@@ -128,6 +128,24 @@
      1},
 };
 
+struct RoomRow {
+  const char* scenario;
+  // The sends that are in progress, and those of the next request.
+  std::size_t busy_sends;
+  std::size_t next_sends;
+  bool expected_room;
+};
+
+constexpr std::size_t kMaxLinks = 20;
+
+const RoomRow kRoomRows[] = {
+    {"no other request", 0, 10, true},
+    {"a request that is larger than the limit is alone", 0, 90, true},
+    {"half of the links are not exceeded", 5, 5, true},
+    {"half of the links are exceeded", 5, 6, false},
+    {"a single send when half of the links are busy", 10, 1, false},
+};
+
 // Links that are free and can't carry a request that they have carried before.
 constexpr std::size_t kMaxExpectedLinks = 32;
 
@@ -152,6 +170,38 @@
                 kMaxExpectedLinks, actual);
 }
 
+ParameterizedTestParameters(BackendLinks, RoomForRequestsIsBounded) {
+  return RowIndices(kRoomRows);
+}
+
+// Guards against descriptors that run out while many requests wait for servers
+// that do not answer, and against a large request that is never begun.
+ParameterizedTest(std::size_t* index, BackendLinks, RoomForRequestsIsBounded) {
+  const RoomRow& row = kRoomRows[*index];
+  WorkerPool pool(2);
+  const TcpServer silent_server(pool, Address(),
+                                [](TcpStream&, std::string_view) {});
+  const auto strand = std::make_shared<Strand>(pool);
+  const auto links =
+      std::make_shared<BackendLinks>(strand, ReplyLimits{}, kMaxLinks);
+  std::promise<bool> has_room;
+  strand->Post([&] {
+    for (std::size_t i = 0; i < row.busy_sends; ++i) {
+      LinkExchange exchange;
+      exchange.request = RequestId(fmt::format("busy-{}", i));
+      exchange.request_bytes = "GET / HTTP/1.1\r\n\r\n";
+      exchange.on_outcome = [](const LinkOutcome&) {};
+      links->Begin(ServerIndex(1), Address(), std::chrono::seconds(10),
+                   std::move(exchange));
+    }
+    has_room.set_value(links->HasRoomFor(row.next_sends));
+  });
+  const bool actual = has_room.get_future().get();
+  pool.Stop();
+  cr_assert_eq(actual, row.expected_room, "%s: expected %d, actual %d",
+               row.scenario, row.expected_room, actual);
+}
+
 ParameterizedTestParameters(BackendLinks, LateCopyIsNoReplyToASecondSend) {
   return RowIndices(kLateCopyRows);
 }
--- a/tests/platform/crowd.sh
+++ b/tests/platform/crowd.sh
@@ -8,7 +8,7 @@
 kind=$1
 # The sockets of a test that has just ended may still be in use, so that each kind
 # has addresses of its own.
-kinds=(bodies pieces chunks small-chunks heads pipelined unread complete connections)
+kinds=(bodies pieces chunks small-chunks heads pipelined unread complete connections silent)
 for number in "${!kinds[@]}"; do
   [ "${kinds[$number]}" = "$kind" ] && base=127.$((90 + number))
 done
@@ -27,14 +27,28 @@
 case $kind in
   unread) path=/act/large ;;
   # A fan-out to servers that do not answer, so that the bodies stay in progress.
-  complete) path=/x/silent ;;
+  complete | silent) path=/x/silent ;;
   *) path=/act/crowd ;;
 esac
 # The crowd alone would take all connections.
 [ "$kind" = connections ] && export MARIGOLD_CONNECTIONS=100
+# All but 300 are for callers and backend servers, half for each.
+[ "$kind" = silent ] && export MARIGOLD_OPEN_FILES=600
 . "$(dirname "$0")/system.sh"
 export MARIGOLD_MEMORY_MB=$memory_mb
 
+# Writes the highest number of open descriptors so far to a file.
+sample_descriptors() {
+  local highest=0 count
+  while true; do
+    count=$(find "/proc/${pids[e1]}/fd" -mindepth 1 2>/dev/null | wc -l)
+    if [ "$count" -gt "$highest" ]; then
+      highest=$count
+      echo "$highest" >"$work/descriptors"
+    fi
+    sleep 0.05
+  done
+}
 is_alive() { kill -0 "${pids[e1]}" 2>/dev/null; }
 read_peak_kb() { awk '/^VmHWM/ { print $2 }' "/proc/${pids[e1]}/status"; }
 # Waits until the process has taken what the crowd has sent: its peak no longer grows.
@@ -48,7 +62,7 @@
   is_alive || fail "$1: expected that the process runs, actual: it has ended"
   local peak_kb descriptors
   peak_kb=$(read_peak_kb)
-  descriptors=$(find "/proc/${pids[e1]}/fd" -mindepth 1 | wc -l)
+  descriptors=$(cat "$work/descriptors")
   [ "$peak_kb" -le $((memory_mb * 1024)) ] ||
     fail "$1: expected a peak of at most $((memory_mb * 1024)) kB, actual $peak_kb kB"
   [ "$descriptors" -le $max_descriptors ] ||
@@ -68,6 +82,10 @@
 within $ack_ms "a first configuration is accepted" config_accepted 3 1200
 start_entry 1
 within $recovery_ms "the entry VM is ready" is_ready 1
+sample_descriptors &
+pids[sampler]=$!
+disown
+within $ack_ms "descriptors are counted" test -s "$work/descriptors"
 for crowd in 1 2; do
   start_crowd $crowd
   within 60000 "crowd $crowd has sent its requests" crowd_settled $crowd
--- a/tests/platform/crowd_client.cc
+++ b/tests/platform/crowd_client.cc
@@ -76,6 +76,9 @@
         Head(settings, "GET", "X-Filler: " + std::string(bytes, 'h') + "\r\n");
     return request.substr(0, request.size() - 2);
   }
+  if (settings.kind == "silent") {
+    return Head(settings, "GET", "");
+  }
   if (settings.kind == "pipelined" || settings.kind == "unread") {
     std::string requests;
     for (int i = 0; i < kPipelinedRequests; ++i) {
@@ -204,7 +207,7 @@
   table.AddEndpoint("target", settings.target, "Address to connect to.");
   table.AddChoice("kind", settings.kind,
                   {"bodies", "complete", "pieces", "chunks", "small-chunks",
-                   "heads", "pipelined", "unread"},
+                   "heads", "pipelined", "silent", "unread"},
                   "What the clients send, and where they stop.");
   table.AddText("path", settings.path, "path", "Path of the requests.");
   table.AddNumber("clients", settings.clients, 1, 10'000, "clients",
