Split the files that have grown, and derive component settings in one place

An entry VM accepts 32 connections for its lists instead of 256. Unit tests of the changed parts and platform_seeds, _turnover, _path, _stop, _notices and _freeze pass.

--- a/src/net/control/list_sharing.cc
+++ b/src/net/control/list_sharing.cc
@@ -16,7 +16,9 @@
 
 constexpr Duration kRequestTimeout = std::chrono::seconds(1);
 constexpr Duration kServerSilenceTimeout = std::chrono::seconds(5);
-constexpr std::size_t kMaxConnections = 256;
+// An entry VM is asked by few others at a time, and each connection may send
+// the start of a long frame.
+constexpr std::size_t kMaxConnections = 32;
 
 // Several entry VMs are asked at the same time, because some of those that were
 // known last may be gone.
--- a/src/net/control/subscriber_hub.cc
+++ b/src/net/control/subscriber_hub.cc
@@ -10,6 +10,7 @@
 #include "src/core/clock.h"
 #include "src/core/log.h"
 #include "src/core/ranked_mutex.h"
+#include "src/net/control/detail/subscriber.h"
 #include "src/wire/frame.h"
 
 namespace marigold {
@@ -20,38 +21,6 @@
 // of messages to each entry VM during a burst of edits.
 constexpr Duration kPushInterval = std::chrono::milliseconds(10);
 
-// A subscriber that has not confirmed the newest lists after this time is
-// logged. Most confirm them within tens of milliseconds.
-constexpr Duration kLateConfirmation = std::chrono::seconds(1);
-
-struct Subscriber {
-  std::shared_ptr<FramedConnection> connection;
-  VmId vm;
-  DataCentreId data_centre;
-  // The index that the subscriber has once the last update has arrived.
-  LogIndex sent_index;
-  bool needs_full_lists = false;
-  // The hash of the listing that the subscriber has or was sent last.
-  ListingHash listing;
-  // Number of `Subscribe` requests on this connection.
-  std::uint64_t subscription_number = 0;
-  // The index that the subscriber reported last, and the time of its last
-  // request or heartbeat.
-  LogIndex acknowledged_index;
-  MonotonicTime last_message_at;
-  // When the subscriber was first found to lack the newest lists. Absent while
-  // it has them.
-  std::optional<MonotonicTime> behind_since;
-  // True once it was logged as late with these lists.
-  bool is_logged_late = false;
-};
-
-// A change of the lists that not all subscribers have confirmed.
-struct OpenChange {
-  LogIndex index;
-  MonotonicTime began_at;
-};
-
 // An update that has to be sent to a subscriber.
 struct DueUpdate {
   std::shared_ptr<FramedConnection> connection;
@@ -116,9 +85,7 @@
   std::vector<DueUpdate> FindDueUpdates(LogIndex newest) {
     const RankedLock lock(this->mutex);
     const MonotonicTime now = this->clock.Now();
-    if (newest > this->logged_index && !this->open_change) {
-      this->open_change = OpenChange{newest, now};
-    }
+    this->distribution_log.OnNewest(now, newest);
     std::vector<DueUpdate> due_updates;
     for (auto& [key, subscriber] : this->subscribers) {
       if (subscriber.acknowledged_index < newest && !subscriber.behind_since) {
@@ -158,7 +125,7 @@
     return {update.to, std::move(body)};
   }
 
-  static bool IsDue(const Subscriber& subscriber, LogIndex newest) {
+  static bool IsDue(const detail::Subscriber& subscriber, LogIndex newest) {
     return subscriber.sent_index < newest || subscriber.needs_full_lists;
   }
 
@@ -243,45 +210,6 @@
     }
   }
 
-  // Logs each subscriber that is late to confirm the newest lists, once until
-  // it has them. Must be called with the mutex held.
-  void LogLateSubscribers() {
-    const MonotonicTime now = this->clock.Now();
-    for (auto& [key, subscriber] : this->subscribers) {
-      if (!subscriber.is_logged_late && subscriber.behind_since &&
-          now - *subscriber.behind_since >= kLateConfirmation) {
-        subscriber.is_logged_late = true;
-        LogEvent(LogLevel::kWarning, "subscriber_late",
-                 {{"vm", subscriber.vm.value()},
-                  {"has", subscriber.acknowledged_index.value()},
-                  {"sent", subscriber.sent_index.value()},
-                  {"late_ms", ToMilliseconds(now - *subscriber.behind_since)}});
-      }
-    }
-  }
-
-  // Logs when all subscribers have confirmed a change. One line covers all
-  // changes that were made meanwhile, which bounds the volume during a burst.
-  // Must be called with the mutex held.
-  void LogConfirmedChange(LogIndex newest) {
-    const bool all_have_it =
-        std::all_of(this->subscribers.begin(), this->subscribers.end(),
-                    [newest](const auto& entry) {
-                      return entry.second.acknowledged_index >= newest;
-                    });
-    if (!this->open_change || !all_have_it) {
-      return;
-    }
-    LogEvent(LogLevel::kInfo, "lists_distributed",
-             {{"index", newest.value()},
-              {"from", this->open_change->index.value()},
-              {"subscribers", this->subscribers.size()},
-              {"took_ms", ToMilliseconds(this->clock.Now() -
-                                         this->open_change->began_at)}});
-    this->logged_index = newest;
-    this->open_change.reset();
-  }
-
   void SendHeartbeatsPeriodically() {
     this->SendHeartbeat();
     auto send_again = [weak = this->weak_from_this()] {
@@ -290,7 +218,7 @@
       }
     };
     const RankedLock lock(this->mutex);
-    this->LogLateSubscribers();
+    this->distribution_log.LogLate(this->clock.Now(), this->subscribers);
     this->heartbeat_timer =
         this->pool.After(this->heartbeat_interval, std::move(send_again));
   }
@@ -303,10 +231,8 @@
   std::atomic<bool> is_push_scheduled = false;
   std::atomic<bool> announced_has_quorum = false;
   mutable RankedMutex<LockRank::kSubscribers> mutex;
-  std::map<const FramedConnection*, Subscriber> subscribers;
-  std::optional<OpenChange> open_change;
-  // The newest index that all subscribers were logged to have.
-  LogIndex logged_index;
+  detail::Subscribers subscribers;
+  detail::DistributionLog distribution_log;
   TimerHandle push_timer;
   TimerHandle heartbeat_timer;
 };
@@ -328,7 +254,7 @@
     const marigold::Subscribe& request) {
   {
     const RankedLock lock(this->impl->mutex);
-    Subscriber& subscriber = this->impl->subscribers[connection.get()];
+    detail::Subscriber& subscriber = this->impl->subscribers[connection.get()];
     subscriber.connection = connection;
     subscriber.vm = request.vm;
     subscriber.data_centre = request.data_centre;
@@ -354,22 +280,19 @@
   if (position == this->impl->subscribers.end()) {
     return;
   }
-  Subscriber& subscriber = position->second;
+  detail::Subscriber& subscriber = position->second;
   subscriber.acknowledged_index = heartbeat.index;
   subscriber.last_message_at = this->impl->clock.Now();
   if (subscriber.acknowledged_index >= newest) {
     subscriber.behind_since.reset();
-    if (std::exchange(subscriber.is_logged_late, false)) {
-      LogEvent(LogLevel::kInfo, "subscriber_caught_up",
-               {{"vm", subscriber.vm.value()},
-                {"index", subscriber.acknowledged_index.value()}});
-    }
-    this->impl->LogConfirmedChange(newest);
+    this->impl->distribution_log.OnConfirmed(subscriber.last_message_at, newest,
+                                             subscriber,
+                                             this->impl->subscribers);
   }
 }
 
 void SubscriberHub::OnClosed(const FramedConnection& connection) {
-  std::optional<Subscriber> removed_subscriber;
+  std::optional<detail::Subscriber> removed_subscriber;
   const RankedLock lock(this->impl->mutex);
   const auto position = this->impl->subscribers.find(&connection);
   if (position != this->impl->subscribers.end()) {
--- a/src/net/forward/backend_link.cc
+++ b/src/net/forward/backend_link.cc
@@ -139,10 +139,10 @@
 
 // The exchange may end before the write does, so the bytes are kept apart.
 void BackendLink::WriteRest(std::size_t sent) {
-  static const auto kNoBody = std::make_shared<const std::string>();
   const std::string& request_bytes = this->exchange->request_bytes;
-  const auto body =
-      this->exchange->request_body ? this->exchange->request_body : kNoBody;
+  const auto body = this->exchange->request_body
+                        ? this->exchange->request_body
+                        : std::make_shared<const std::string>();
   const std::size_t head_sent = std::min(sent, request_bytes.size());
   const auto head =
       std::make_shared<const std::string>(request_bytes.substr(head_sent));
--- a/src/net/forward/forwarder.h
+++ b/src/net/forward/forwarder.h
@@ -19,6 +19,15 @@
 
 namespace marigold {
 
+// What one strand may use of what others decide the amount of.
+struct StrandLimits {
+  ReplyLimits replies;
+  // The requests and answers of callers.
+  std::size_t caller_memory_bytes = CallerHandlers::kDefaultCallerMemoryBytes;
+  // The connections to backend servers.
+  std::size_t max_links = BackendLinks::kDefaultMaxLinks;
+};
+
 // The objects that all strands of an entry process share.
 struct ForwardContext {
   const ListTable& lists;
@@ -28,11 +37,7 @@
   // Returns false while it is not certain which routes are in force.
   std::function<bool()> are_routes_known;
   const Lifecycle& lifecycle;
-  ReplyLimits reply_limits;
-  // What the requests and answers of the callers of one strand may take.
-  std::size_t caller_memory_bytes = CallerHandlers::kDefaultCallerMemoryBytes;
-  // The connections to backend servers of one strand.
-  std::size_t max_links = BackendLinks::kDefaultMaxLinks;
+  StrandLimits limits;
 };
 
 // Takes the requests of one strand, finds the route of each and starts a call.
@@ -44,8 +49,8 @@
             const ForwardContext& forward_context)
       : context(forward_context),
         links(std::make_shared<BackendLinks>(strand,
-                                             forward_context.reply_limits,
-                                             forward_context.max_links)),
+                                             forward_context.limits.replies,
+                                             forward_context.limits.max_links)),
         call_context{strand, links, forward_context.backends,
                      forward_context.metrics},
         fan_out_context{forward_context.aggregators,
@@ -70,7 +75,7 @@
       self->LogRefusal(request, CallerSession::kRoomShortStatus, "room_short");
     };
     handlers.memory = std::make_shared<CallerSessionMemory>(
-        this->context.caller_memory_bytes);
+        this->context.limits.caller_memory_bytes);
     handlers.limits = [self = this->shared_from_this()] {
       const auto routes = self->context.lists.Routes();
       return routes ? routes->table().limits : CallerLimits();
--- a/src/programs/forward_process.h
+++ b/src/programs/forward_process.h
@@ -23,6 +23,7 @@
 #include "src/net/listing/listing_poller.h"
 #include "src/policy/listing_schedule.h"
 #include "src/programs/forward_admin.h"
+#include "src/programs/forward_components.h"
 #include "src/programs/forward_settings.h"
 
 namespace marigold {
@@ -98,77 +99,16 @@
   static constexpr Duration kTickInterval = std::chrono::milliseconds(250);
   static constexpr std::uint64_t kMaxFirstReadDelayMs = 600;
 
-  static DirectorySettings ToDirectorySettings(
-      const ForwardSettings& settings) {
-    DirectorySettings directory;
-    directory.data_centre = DataCentreId(settings.data_centre);
-    directory.retry_budget.ratio = Fraction(settings.retry_ratio);
-    directory.retry_budget.fleet_minimum_sends = settings.retry_minimum;
-    directory.retry_budget.window = FromSeconds(settings.retry_window_s);
-    directory.retry_budget.started_at = SystemClock().Now();
-    directory.seed = SystemSeed();
-    return directory;
-  }
-
-  static FanOutSettings ToFanOutSettings(const ForwardSettings& settings) {
-    FanOutSettings fan_out;
-    fan_out.processor_share = Fraction(settings.cpu_share);
-    if (settings.fan_out == "direct") {
-      fan_out.mode = FanOutMode::kDirect;
-    } else if (settings.fan_out == "groups") {
-      fan_out.mode = FanOutMode::kGroups;
-    }
-    return fan_out;
-  }
-
-  // What one strand may use for one of the two kinds of bytes whose amount
-  // others decide: those of callers and those of backend servers.
-  static std::int64_t MemoryShare(const ForwardSettings& settings) {
-    constexpr std::int64_t kMiB = 1024 * 1024;
-    constexpr std::int64_t kParts = 4;
-    return settings.memory_mib * kMiB / kParts / settings.workers;
-  }
-
-  // The connections that callers may have at most, and what is left for those
-  // to backend servers.
-  static std::int64_t HalfOfDescriptors(const ForwardSettings& settings) {
-    // Files, listeners, connections to control VMs and to other entry VMs.
-    constexpr std::int64_t kOtherDescriptors = 300;
-    return (settings.max_open_files - kOtherDescriptors) / 2;
-  }
-
-  static ReplyLimits ToReplyLimits(const ForwardSettings& settings) {
-    return {static_cast<std::size_t>(settings.max_reply_bytes),
-            static_cast<std::size_t>(
-                std::min(settings.reply_memory_bytes / settings.workers,
-                         MemoryShare(settings)))};
-  }
-
-  static ControlClientSettings ToControlSettings(
-      const ForwardSettings& settings) {
-    ControlClientSettings client;
-    client.vm = VmId(settings.vm);
-    client.data_centre = DataCentreId(settings.data_centre);
-    client.controls = settings.controls;
-    client.aggregator = settings.aggregator;
-    client.listen = settings.lists;
-    return client;
-  }
-
   Result<void> Open() {
     this->started_at = this->clock.Now();
     this->listing.OnChanged([this] { this->ApplyListing(); });
-    const ForwardContext shared{
-        this->lists,
-        this->backends,
-        this->aggregators,
-        this->metrics,
-        [this] { return this->knows_routes(); },
-        this->lifecycle,
-        ToReplyLimits(this->settings),
-        static_cast<std::size_t>(MemoryShare(this->settings)),
-        static_cast<std::size_t>(HalfOfDescriptors(this->settings) /
-                                 this->settings.workers)};
+    const ForwardContext shared{this->lists,
+                                this->backends,
+                                this->aggregators,
+                                this->metrics,
+                                [this] { return this->knows_routes(); },
+                                this->lifecycle,
+                                ToStrandLimits(this->settings)};
     std::vector<std::shared_ptr<Strand>> strands;
     for (std::int64_t i = 0; i < this->settings.workers; ++i) {
       strands.push_back(std::make_shared<Strand>(this->pool));
@@ -179,9 +119,7 @@
     BOOST_LEAF_ASSIGN(this->caller_listener,
                       CallerListener::Listen(
                           this->pool, this->settings.listen, strands,
-                          static_cast<std::size_t>(
-                              std::min(this->settings.max_connections,
-                                       HalfOfDescriptors(this->settings))),
+                          MaxCallerConnections(this->settings),
                           [this](const std::shared_ptr<Strand>& strand) {
                             return this->ForwarderOf(strand)->CreateHandlers();
                           }));
--- a/src/wire/control_messages.cc
+++ b/src/wire/control_messages.cc
@@ -14,6 +14,7 @@
 
 std::vector<ControlVmLocation> LocationsOf(const Membership& membership) {
   std::vector<ControlVmLocation> locations;
+  locations.reserve(membership.members.size());
   for (const Member& member : membership.members) {
     locations.push_back({member.address, member.data_centre,
                          member.role == MemberRole::kVoter});
--- a/tests/platform/system.sh
+++ b/tests/platform/system.sh
@@ -78,6 +78,17 @@
 }
 is_ready() { [ "$(curl -s -m 1 -o /dev/null -w '%{http_code}' "$net.1$1:8081/v1/ready")" = 200 ]; }
 
+# follows_group CONTROL: true if the control VM is in contact with a quorum.
+follows_group() { curl -s -m 1 "$net.$1:7180/metrics" | grep -q '^marigold_control_has_quorum 1'; }
+# entries_behind COUNT: lists those of the first entry VMs that do not serve the newest
+# route.
+entries_behind() {
+  local entry
+  for ((entry = 1; entry <= $1; entry++)); do
+    [ "$(send_request $entry "n-$version-$entry" /v$version/1)" = 200 ] || echo "e$entry"
+  done
+}
+
 # config VERSION TIMEOUT: routes over two shards, one service, one action, and one
 # whose path names the version.
 config() {
--- a/tests/process/platform_freeze.sh
+++ b/tests/process/platform_freeze.sh
@@ -24,13 +24,6 @@
 }
 . "$(dirname "$0")/../platform/system.sh"
 
-# Lists the entry VMs that do not serve the newest route.
-behind() {
-  local entry
-  for ((entry = 1; entry <= entry_vms; entry++)); do
-    [ "$(send_request $entry "f-$version-$entry" /v$version/1)" = 200 ] || echo "e$entry"
-  done
-}
 sleep_until_ms() {
   local left=$(($1 - $(now_ms)))
   [ $left -le 0 ] || sleep "$(printf '%d.%03d' $((left / 1000)) $((left % 1000)))"
@@ -47,8 +40,7 @@
 pids[unreachable]=$!
 disown
 start_control 5 false
-has_joined() { curl -s -m 1 "$net.5:7180/metrics" | grep -q '^marigold_control_has_quorum 1'; }
-within $recovery_ms "the new control VM follows the group" has_joined
+within $recovery_ms "the new control VM follows the group" follows_group 5
 sleep $((contact_ms / 1000))
 
 for ((round = 1; round <= rounds; round++)); do
@@ -66,7 +58,7 @@
     fi
     sleep_until_ms $((frozen_at + contact_ms))
     sleep_until_ms $((acknowledged_at + apply_ms))
-    expect "all entry VMs serve version $version while c$frozen is frozen" "" "$(behind)"
+    expect "all entry VMs serve version $version while c$frozen is frozen" "" "$(entries_behind $entry_vms)"
     sleep_until_ms $((frozen_at + freeze_s * 1000))
     kill -CONT "${pids[c$frozen]}"
     sleep "$pause_s"
--- a/tests/process/platform_seeds.sh
+++ b/tests/process/platform_seeds.sh
@@ -6,8 +6,6 @@
 base=127.59
 . "$(dirname "$0")/../platform/system.sh"
 
-has_joined() { curl -s -m 1 "$net.$1:7180/metrics" | grep -q '^marigold_control_has_quorum 1'; }
-
 start_standin
 for i in 1 2 3; do start_control $i true; done
 within $ack_ms "a first configuration is accepted" config_accepted 3 1200
@@ -25,7 +23,7 @@
 echo "${current_seeds//,/, }" >"$MARIGOLDDOCK_SETTINGS.new"
 mv "$MARIGOLDDOCK_SETTINGS.new" "$MARIGOLDDOCK_SETTINGS"
 within $recovery_ms "the entry VM is ready" is_ready 1
-within $recovery_ms "the new control VM follows the group" has_joined 4
+within $recovery_ms "the new control VM follows the group" follows_group 4
 expect "the invalid content was logged by both" 2 \
   "$(cat "$work"/e1.log "$work"/c4.log | grep -c event=seeds_file_ignored)"
 echo "platform seeds: all checks passed"
--- a/tests/process/platform_turnover.sh
+++ b/tests/process/platform_turnover.sh
@@ -13,18 +13,6 @@
 data_centre_of() { echo "dc$(((${1:1} - 1) % 3 + 1))"; }
 . "$(dirname "$0")/../platform/system.sh"
 
-# Lists the entry VMs that do not serve the newest route.
-behind() {
-  local entry
-  for ((entry = 1; entry <= entry_vms; entry++)); do
-    [ "$(send_request $entry "t-$version-$entry" /v$version/1)" = 200 ] || echo "e$entry"
-  done
-}
-has_voters() {
-  curl -s -m 1 "$net.$1:7180/metrics" | grep -q "^marigold_control_voters $2"
-}
-has_joined() { curl -s -m 1 "$net.$1:7180/metrics" | grep -q '^marigold_control_has_quorum 1'; }
-
 start_standin
 for i in 1 2 3; do start_control $i true; done
 within $ack_ms "a first configuration is accepted" config_accepted 3 1200
@@ -40,12 +28,12 @@
   disown
   seeds=$net.$((i % 3 + 1)):7180,$net.$((i + 3)):7180,$net.$((i + 2)):7180
   start_control $((i + 3)) false
-  within $recovery_ms "the new control VM $((i + 3)) follows the group" has_joined $((i + 3))
+  within $recovery_ms "the new control VM $((i + 3)) follows the group" follows_group $((i + 3))
   sleep $((contact_ms / 1000))
 done
 kill -CONT "${pids[e1]}"
 sleep $((contact_ms / 1000))
 put_next_config 4 5 6
 sleep $((apply_ms / 1000))
-expect "all entry VMs serve version $version after the turnover" "" "$(behind)"
+expect "all entry VMs serve version $version after the turnover" "" "$(entries_behind $entry_vms)"
 echo "platform turnover: all checks passed"
