Keep asking entry VMs that a new control VM has not heard of

Callers saw: nothing yet; found when the diff was read. Cause: the whole set that a control VM announces replaced the entry VMs that are asked for control VMs. A control VM that has just joined knows few of them, and one that is lost right after leaves the entry VM with nobody to ask. Evidence: the new row of LearnsControlVmsFromAnEntryVm sends an empty set after the first one. Change: announced entry VMs are added and not removed, up to 4,096.

--- a/src/net/control/control_client.cc
+++ b/src/net/control/control_client.cc
@@ -38,17 +38,13 @@
         queue(pool) {}
 
   void CreateComponents(WorkerPool& pool) {
-    const auto on_progress = [weak = this->weak_from_this()] {
-      if (const auto self = weak.lock()) {
-        self->OnProgress();
-      }
-    };
+    const ListSharingHandlers handlers = this->MakeHandlers();
     this->sharing = std::make_shared<ListSharing>(
-        pool, this->queue, this->table, this->settings, this->MakeHandlers());
+        pool, this->queue, this->table, this->settings, handlers);
     if (!this->settings.controls.empty()) {
-      this->stream = std::make_shared<ListStream>(pool, this->queue,
-                                                  this->table, this->listing,
-                                                  this->settings, on_progress);
+      this->stream = std::make_shared<ListStream>(
+          pool, this->queue, this->table, this->listing, this->settings,
+          handlers.on_progress);
       this->sender = std::make_shared<CommandSender>(pool, this->queue,
                                                      this->settings.controls);
       this->stream->SetListedHandler(
--- a/src/net/control/list_sharing.cc
+++ b/src/net/control/list_sharing.cc
@@ -24,6 +24,9 @@
 // known last may be gone.
 constexpr std::size_t kPeersPerRequest = 2;
 
+// Beyond this number, those that were announced earlier are forgotten.
+constexpr std::size_t kMaxPeers = 4'096;
+
 // A leader may lose its place while it is asked.
 constexpr int kMaxRedirects = 2;
 
@@ -110,12 +113,9 @@
 }
 
 void ListSharing::OnAggregators(const AggregatorUpdate& update) {
-  if (update.is_full) {
+  if (this->announced_peers.size() > kMaxPeers) {
     this->announced_peers.clear();
   }
-  for (const VmId& vm : update.removed) {
-    this->announced_peers.erase(vm);
-  }
   for (const Aggregator& aggregator : update.added) {
     if (aggregator.lists_endpoint.port != 0) {
       this->announced_peers[aggregator.vm] = aggregator.lists_endpoint;
--- a/src/net/control/list_sharing.h
+++ b/src/net/control/list_sharing.h
@@ -68,7 +68,9 @@
   // Requests the lists from random entry VMs. Does nothing if none is known.
   void RequestFromPeers();
 
-  // Applies a change of the set of other entry VMs.
+  // Adds the announced entry VMs to those that are asked. None is removed: one
+  // that is announced no more may be all that is left to ask, because a new
+  // control VM has heard of few others yet.
   void OnAggregators(const AggregatorUpdate& update);
 
   // Queries.
--- a/tests/control_client_test.cc
+++ b/tests/control_client_test.cc
@@ -67,8 +67,8 @@
   std::atomic<bool> has_quorum = true;
   // The control VMs that heartbeats and replies name.
   std::vector<ControlVmLocation> controls;
-  // Sent to subscribers if it is set.
-  std::optional<AggregatorUpdate> aggregators;
+  // Sent to subscribers.
+  std::vector<AggregatorUpdate> aggregators;
   // The index in heartbeats, if it is not that of `lists`.
   std::optional<LogIndex> reported_index;
   // Accepts connections and sends nothing.
@@ -146,8 +146,8 @@
     if (this->lists) {
       connection.Send(EncodeControlMessage(*this->lists));
     }
-    if (this->aggregators) {
-      connection.Send(EncodeControlMessage(*this->aggregators));
+    for (const AggregatorUpdate& update : this->aggregators) {
+      connection.Send(EncodeControlMessage(update));
     }
     this->SendHeartbeat(connection);
   }
@@ -296,11 +296,15 @@
   // How the client knows the other entry VM.
   bool is_in_settings;
   bool is_announced;
+  // True if the set that is announced last does not contain it.
+  bool is_missing_later;
 };
 
 const LearnRow kLearnRows[] = {
-    {"the settings name the other entry VM", true, false},
-    {"the control VM has announced the other entry VM", false, true},
+    {"the settings name the other entry VM", true, false, false},
+    {"the control VM has announced the other entry VM", false, true, false},
+    {"a new control VM has not heard of the other entry VM yet", false, true,
+     true},
 };
 
 }  // namespace
@@ -642,10 +646,13 @@
     settings.peers = {Address(5)};
   }
   if (row.is_announced) {
-    replaced.aggregators = AggregatorUpdate{
-        true,
-        {{VmId("entry-5"), DataCentreId("dc1"), Address(6), Address(5)}},
-        {}};
+    replaced.aggregators.push_back(
+        {true,
+         {{VmId("entry-5"), DataCentreId("dc1"), Address(6), Address(5)}},
+         {}});
+  }
+  if (row.is_missing_later) {
+    replaced.aggregators.push_back({true, {}, {}});
   }
   ControlClient client(pool, table, listing, settings);
   client.SetAggregatorsHandler([](const AggregatorUpdate&) {});
