--- a/src/net/control/control_driver_storage.cc
+++ b/src/net/control/control_driver_storage.cc
@@ -90,6 +90,10 @@
   if (!this->storage_retry.IsDue(now)) {
     return;
   }
+  LogEvent(
+      LogLevel::kInfo, "storage_attempt",
+      {{"folder", this->settings.data_folder},
+       {"failed_ms", ToMilliseconds(now - this->storage_retry.failed_at())}});
   if (const auto error = this->TryOpenStorage()) {
     this->OnStorageFailed(now, *error);
     return;
