--- a/src/net/control/list_sharing.cc
+++ b/src/net/control/list_sharing.cc
@@ -24,7 +24,7 @@
 // known last may be gone.
 constexpr std::size_t kPeersPerRequest = 2;
 
-// Beyond this number, those that were announced earlier are forgotten.
+// Beyond this number of announced entry VMs, the earlier ones are forgotten.
 constexpr std::size_t kMaxPeers = 4'096;
 
 // A leader may lose its place while it is asked.
--- a/src/net/forward/forwarder.h
+++ b/src/net/forward/forwarder.h
@@ -19,7 +19,7 @@
 
 namespace marigold {
 
-// What one strand may use of what others decide the amount of.
+// Limits of one strand for what callers and backend servers make it hold.
 struct StrandLimits {
   ReplyLimits replies;
   // The requests and answers of callers.
--- a/tests/platform/crowd.sh
+++ b/tests/platform/crowd.sh
@@ -1,9 +1,10 @@
 #!/usr/bin/env bash
 # Tests that an entry VM outlives clients that do not behave: crowd.sh KIND, where
 # KIND is one of crowd_client's, or "connections" for more clients than the process has
-# connections for. Many requests of legal size stop just short of their
-# end and stay open. If it is wrong, the process needs more memory than its VM has
-# and is killed. Checks nothing that depends on the machine's speed.
+# connections for. Most of them send requests of legal size that stop just short of
+# their end, and stay. If it is wrong, the process needs more memory or descriptors than
+# its VM has and is killed, or other callers get no answer. Checks nothing that depends
+# on the machine's speed.
 set -euo pipefail
 kind=$1
 # The sockets of a test that has just ended may still be in use, so that each kind
