Read a reported load of four figures, and the configuration's customers

Cause: a reply's load was dropped as a whole when a fourth figure followed, so nothing was known of the load of such servers. The configuration's customers, public routes and limits of cold servers were ignored.

Change: the fourth figure is read as the slowdown of the server's machine. RouteTable holds customers with keys, priorities and quotas; a service states how long its servers are cold and what they bear. A send carries the name of the verified customer in place of the caller's key.

Result: new rows in http_dialect_test and config_codec_test; the load of four figures was absent before.

--- a/src/core/ids.h
+++ b/src/core/ids.h
@@ -49,6 +49,9 @@
 using ServiceId = detail::StringId<struct ServiceTag>;
 // A plan; the key of a row of the usage list.
 using PlanId = detail::StringId<struct PlanTag>;
+// Identifies a customer's requests. A secret: it must not be logged, shown or
+// sent to backend servers.
+using ApiKey = detail::StringId<struct ApiKeyTag>;
 // Identifies a request in logs and answers. Chosen by the caller.
 using RequestId = detail::StringId<struct RequestTag>;
 // Identifies one edit of a list, stable across resends of that edit.
--- a/src/net/forward/forwarder.h
+++ b/src/net/forward/forwarder.h
@@ -237,7 +237,7 @@
           }
         }};
     EncodedRequest encoded{std::move(caller_metadata.request),
-                           MessageCodec::MakeSendTemplate(request),
+                           MessageCodec::MakeSendTemplate(request, {}),
                            request.method() == boost::beast::http::verb::head};
     if (this->UsesGroups(plan, encoded)) {
       this->StartCall(
--- a/src/net/forward/message_codec.h
+++ b/src/net/forward/message_codec.h
@@ -24,6 +24,17 @@
   // How long the caller will wait for the answer. Empty if the caller does not
   // state it.
   std::optional<Duration> time_left;
+  // The API key of the caller. Absent if the request has none or several.
+  std::optional<ApiKey> key{};
+};
+
+// Which customer backend servers see as the sender of a request.
+struct SenderIdentity {
+  // False if the configuration has no customers. The caller's fields are then
+  // passed on like any other.
+  bool is_managed = false;
+  // Absent if the request has no customer.
+  std::optional<CustomerId> customer{};
 };
 
 // The fields that go with one send to a backend server.
@@ -86,6 +97,7 @@
 template <class T>
 concept ForwardMessageCodec = requires(const CallerRequest& request,
                                        CallerRequest& consumed_request,
+                                       const SenderIdentity& identity,
                                        const SendTemplate& send_template,
                                        const SendMetadata& send,
                                        const BackendReply& reply,
@@ -94,7 +106,9 @@
                                        bool closes_connection) {
   { T::ReadCaller(request) } -> std::same_as<CallerMetadata>;
   // Takes the body out of the request.
-  { T::MakeSendTemplate(consumed_request) } -> std::same_as<SendTemplate>;
+  {
+    T::MakeSendTemplate(consumed_request, identity)
+    } -> std::same_as<SendTemplate>;
   // Returns the header of a send. The body follows it.
   { T::WriteSend(send_template, send) } -> std::same_as<std::string>;
   { T::RequestIdOf(reply) } -> std::same_as<std::string_view>;
--- a/src/policy/backend_directory.h
+++ b/src/policy/backend_directory.h
@@ -56,6 +56,12 @@
   std::uint32_t running = 0;
   std::uint32_t waiting = 0;
   std::uint32_t slots = 0;
+  // How long work takes on the server's machine at this moment, as a ratio to
+  // the usual time. Servers share their machines with other programs, so it may
+  // change several times a second.
+  double slowdown = 1;
+
+  bool operator==(const ReportedLoad&) const = default;
 };
 
 // Which services of a list have servers in a data centre.
--- a/src/policy/forward_types.h
+++ b/src/policy/forward_types.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string_view>
 #include <variant>
 #include <vector>
@@ -21,6 +22,10 @@
 // A forwarded request with its route resolved.
 struct ForwardPlan {
   RouteName route;
+  // The customer of the request. Empty if the request has none.
+  std::optional<CustomerId> customer{};
+  // The priority of the request. 0 is the highest.
+  std::uint32_t priority = 0;
   // The service of the request, or the shards of a fan-out.
   std::vector<ServiceId> targets;
   // By target: servers that must not get the request, because earlier sends to
--- a/src/policy/routes.h
+++ b/src/policy/routes.h
@@ -65,6 +65,8 @@
   std::uint32_t max_attempts = 1;
   // The priority of the route's requests. 0 is the highest.
   std::uint32_t priority = 0;
+  // True if a request needs no API key.
+  bool is_public = false;
   // The services of the route. Empty for a fan-out.
   std::vector<WeightedService> services;
   std::optional<FanOut> fan_out;
@@ -75,7 +77,46 @@
   void serialize(Archive& archive) {
     archive(this->name, this->host, this->path_prefix, this->is_idempotent,
             this->time_limit, this->target_latency, this->max_attempts,
-            this->priority, this->services, this->fan_out);
+            this->priority, this->is_public, this->services, this->fan_out);
+  }
+};
+
+// The requests that a customer may make over all entry VMs together.
+struct QuotaLimit {
+  RatePerSecond rate;
+  // The number of requests beyond the rate that may arrive at once.
+  double burst = 0;
+
+  bool is_unlimited() const { return this->rate.value() <= 0; }
+
+  bool operator==(const QuotaLimit&) const = default;
+
+  template <class Archive>
+  void save(Archive& archive) const {
+    archive(this->rate.value(), this->burst);
+  }
+
+  template <class Archive>
+  void load(Archive& archive) {
+    double requests_per_second = 0;
+    archive(requests_per_second, this->burst);
+    this->rate = RatePerSecond(requests_per_second);
+  }
+};
+
+// A customer that may send requests.
+struct RoutedCustomer {
+  CustomerId customer;
+  std::vector<ApiKey> keys;
+  // Takes precedence over the priority of a route.
+  std::optional<std::uint32_t> priority;
+  QuotaLimit quota;
+
+  bool operator==(const RoutedCustomer&) const = default;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->customer, this->keys, this->priority, this->quota);
   }
 };
 
@@ -86,12 +127,26 @@
   // The number of connections that one backend server accepts from all callers
   // together, or 0 if it is unknown.
   std::uint32_t connection_limit = 0;
+  // How long a backend server is cold after its start.
+  Duration cold_time{};
+  // The requests per second that a cold backend server can handle, from all
+  // entry VMs together; 0 if there is no limit.
+  RatePerSecond cold_rate;
 
   bool operator==(const RoutedService&) const = default;
 
   template <class Archive>
-  void serialize(Archive& archive) {
-    archive(this->service, this->health_path, this->connection_limit);
+  void save(Archive& archive) const {
+    archive(this->service, this->health_path, this->connection_limit,
+            this->cold_time, this->cold_rate.value());
+  }
+
+  template <class Archive>
+  void load(Archive& archive) {
+    double requests_per_second = 0;
+    archive(this->service, this->health_path, this->connection_limit,
+            this->cold_time, requests_per_second);
+    this->cold_rate = RatePerSecond(requests_per_second);
   }
 };
 
@@ -119,12 +174,16 @@
   std::vector<Route> routes;
   std::vector<RoutedService> services;
   CallerLimits limits;
+  // The customers, whose requests carry an API key. If absent, requests need no
+  // key.
+  std::optional<std::vector<RoutedCustomer>> customers;
 
   bool operator==(const RouteTable&) const = default;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(this->version, this->routes, this->services, this->limits);
+    archive(this->version, this->routes, this->services, this->limits,
+            this->customers);
   }
 };
 
--- a/src/tables/control_state_image.cc
+++ b/src/tables/control_state_image.cc
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr std::uint32_t kMagic = 0x5343474d;  // "MGCS"
-constexpr std::uint32_t kFormatVersion = 2;
+constexpr std::uint32_t kFormatVersion = 3;
 
 struct ImageHeader {
   std::uint32_t magic = kMagic;
@@ -40,7 +40,7 @@
   }
   if (header.version != kFormatVersion) {
     return boost::leaf::new_error(
-        ParseError{"version", kVersionOffset, "format version 2"});
+        ParseError{"version", kVersionOffset, "format version 3"});
   }
   if (header.body_checksum != Checksum(image.substr(kHeaderBytes))) {
     return boost::leaf::new_error(ParseError{
--- a/tests/config_codec_test.cc
+++ b/tests/config_codec_test.cc
@@ -15,16 +15,19 @@
 constexpr std::string_view kConfig = R"({"Version":7,"Routes":[
   {"Name":"all","Host":"a.example","PathPrefix":"/x/","RouteType":"idempotent",
    "TimeoutMs":600,"TargetLatencyMs":100,"Priority":1,"Gather":["s1","s2"],
-   "Attempts":2,"TopK":50,"MinCoverage":0.89},
+   "Attempts":2,"TopK":50,"MinCoverage":0.89,"Public":true},
   {"Name":"one","Host":"b.example","PathPrefix":"/y/",
    "RouteType":"non_idempotent","TimeoutMs":2000,"Backend":"s1","Attempts":3},
   {"Name":"split","Host":"b.example","PathPrefix":"/z/",
    "RouteType":"idempotent","TimeoutMs":2000,
    "TrafficSplit":[{"Backend":"s1","Weight":3},{"Backend":"s2","Weight":0}]}],
-  "Backends":[{"Name":"s1","HealthPath":"/health","MaxConnections":56},
+  "Backends":[{"Name":"s1","HealthPath":"/health","MaxConnections":56,
+               "ColdStartS":3.5,"ColdPerS":20},
               {"Name":"s2"}],
   "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":262144,
             "HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},
+  "Tenants":[{"Name":"north","ApiKeys":["k1","k2"],"Priority":0,
+              "RatePerS":48.5,"Burst":12},{"Name":"south"}],
   "Later":{"unknown":true}})";
 
 std::string ConfigWith(std::string_view from, std::string_view to) {
@@ -52,6 +55,16 @@
     {"\"Gather\":[\"s1\",\"s2\"]", "\"Gather\":[1]", "Gather"},
     {"\"Name\":\"s2\"", "\"Nam\":\"s2\"", "Backends[1].Name"},
     {"\"MaxBodyBytes\":262144", "\"MaxBodyBytes\":{}", "MaxBodyBytes"},
+    {"\"Public\":true", "\"Public\":1", "Routes[0].Public"},
+    {"\"ColdPerS\":20", "\"ColdPerS\":-1", "Backends[0].ColdPerS"},
+    {"\"ColdStartS\":3.5", "\"ColdStartS\":[]", "Backends[0].ColdStartS"},
+    {"\"Name\":\"north\"", "\"Name\":\"\"", "Tenants[0].Name"},
+    {"\"k1\"", "\"\"", "Tenants[0].ApiKeys"},
+    {"\"RatePerS\":48.5", "\"RatePerS\":-1", "Tenants[0].RatePerS"},
+    {"\"RatePerS\":48.5", "\"RatePerS\":1e10", "Tenants[0].RatePerS"},
+    {"\"Burst\":12", "\"Burst\":\"12\"", "Tenants[0].Burst"},
+    {"\"Priority\":0,", "\"Priority\":-1,", "Tenants[0].Priority"},
+    {"{\"Name\":\"south\"}", "7", "Tenants"},
     {"\"Later\":{\"unknown\":true}}", "", ""},
 };
 
@@ -80,6 +93,18 @@
   cr_assert_eq(table->routes[2].services[0].weight, 3U);
   cr_assert_eq(table->services[0].connection_limit, 56U);
   cr_assert_eq(table->limits.body_bytes, 262'144U);
+  cr_assert(table->routes[0].is_public);
+  cr_assert_not(table->routes[1].is_public);
+  cr_assert_eq(ToMilliseconds(table->services[0].cold_time), 3'500);
+  cr_assert_eq(table->services[0].cold_rate.value(), 20);
+  cr_assert(table->customers.has_value());
+  const RoutedCustomer& customer = table->customers->front();
+  cr_assert_eq(customer.customer.value(), "north");
+  cr_assert_eq(customer.keys.size(), 2U);
+  cr_assert_eq(customer.priority.value_or(9), 0U);
+  cr_assert_eq(customer.quota.rate.value(), 48.5);
+  cr_assert_eq(customer.quota.burst, 12);
+  cr_assert(table->customers->back().quota.is_unlimited());
 }
 
 ParameterizedTestParameters(ConfigCodec, ErrorNamesInvalidField) {
--- a/tests/http_dialect_test.cc
+++ b/tests/http_dialect_test.cc
@@ -141,6 +141,28 @@
      3000, false},
 };
 
+struct LoadRow {
+  const char* text;
+  // Absent if the text can't be read.
+  std::optional<ReportedLoad> load;
+};
+
+const LoadRow kLoads[] = {
+    {"3,0,8", ReportedLoad{3, 0, 8, 1.0}},
+    {"2,0,4,100", ReportedLoad{2, 0, 4, 1.0}},
+    {"2,1,4,250", ReportedLoad{2, 1, 4, 2.5}},
+    {"2,1,4,80", ReportedLoad{2, 1, 4, 0.8}},
+    {"2,1,4,0", ReportedLoad{2, 1, 4, 1.0}},
+    {"2,1", std::nullopt},
+    {"2,1,", std::nullopt},
+    {"2,1,4,", std::nullopt},
+    {"2,1,4,100,7", std::nullopt},
+    {"2,1,4,x", std::nullopt},
+    {"-1,0,4", std::nullopt},
+    {"2, 1, 4", std::nullopt},
+    {"", std::nullopt},
+};
+
 CallerRequest MakeRequest() {
   CallerRequest request;
   request.method_string("POST");
@@ -187,6 +209,20 @@
   }
 }
 
+ParameterizedTestParameters(HttpDialect, ReportedLoadIsRead) {
+  return RowIndices(kLoads);
+}
+
+// Guards against a server whose load is unknown because it also states how slow
+// its machine is.
+ParameterizedTest(std::size_t* index, HttpDialect, ReportedLoadIsRead) {
+  const LoadRow& row = kLoads[*index];
+  const BackendReply reply = MakeReply(200, {{"X-Server-Load", row.text}});
+  const auto actual = HttpDialect::ReadReply(reply).load;
+  cr_assert_eq(actual.has_value(), row.load.has_value(), "%s", row.text);
+  cr_assert(actual == row.load, "%s: expected another load", row.text);
+}
+
 ParameterizedTestParameters(HttpDialect, ReplyHeadTellsWhetherRequestRan) {
   return RowIndices(kReplies);
 }
@@ -213,7 +249,7 @@
 // or another server than the chosen one could run the request.
 Test(HttpDialect, SendForwardsRequestAndReplacesOwnFields) {
   CallerRequest request = MakeRequest();
-  const SendTemplate parts = HttpDialect::MakeSendTemplate(request);
+  const SendTemplate parts = HttpDialect::MakeSendTemplate(request, {});
   cr_assert(parts.body != nullptr, "expected a body, actual none");
   const std::string sent =
       HttpDialect::WriteSend(
@@ -231,6 +267,49 @@
   cr_assert_not(Contains(sent, "chunked"));
 }
 
+struct IdentityRow {
+  const char* scenario;
+  SenderIdentity identity;
+  // Parts of the sent header; null if nothing is expected.
+  const char* present;
+  const char* absent;
+};
+
+const IdentityRow kIdentities[] = {
+    {"a customer",
+     {true, CustomerId("north")},
+     "X-Tenant: north\r\n",
+     "forged"},
+    {"a customer's key", {true, CustomerId("north")}, nullptr, "secret"},
+    {"no customer", {true, std::nullopt}, nullptr, "X-Tenant"},
+    {"no customer but a key", {true, std::nullopt}, nullptr, "secret"},
+    {"a configuration without customers", {}, "X-Tenant: forged\r\n", nullptr},
+    {"a key without customers", {}, "X-Api-Key: secret\r\n", nullptr},
+};
+
+ParameterizedTestParameters(HttpDialect, ServerSeesOnlyTheVerifiedCustomer) {
+  return RowIndices(kIdentities);
+}
+
+// Guards against a key that reaches a backend server, and against a caller that
+// passes for another customer.
+ParameterizedTest(std::size_t* index,
+                  HttpDialect,
+                  ServerSeesOnlyTheVerifiedCustomer) {
+  const IdentityRow& row = kIdentities[*index];
+  CallerRequest request = MakeRequest();
+  request.set("X-Api-Key", "secret");
+  request.set("X-Tenant", "forged");
+  const SendTemplate parts =
+      HttpDialect::MakeSendTemplate(request, row.identity);
+  const std::string sent = HttpDialect::WriteSend(
+      parts, {BackendServerId("i-1"), std::chrono::milliseconds(250)});
+  cr_assert(row.present == nullptr || Contains(sent, row.present), "%s",
+            row.scenario);
+  cr_assert_not(row.absent != nullptr && Contains(sent, row.absent), "%s",
+                row.scenario);
+}
+
 // Without the stamps of all parts and the number of missing ones, a caller
 // could not check a merged answer.
 Test(HttpDialect, MergedAnswerListsPartStamps) {
