Choose servers by the slowdown that they report; hedge fan-outs earlier

Cause: the answers of a repeated query waited for the hedge delay once more, so that a fan-out with one late shard took two hedge delays. A hedge delay at the 93rd percentile is late where 36 shards each are slow with a chance of one in six. The slowdown that a server reports was not used.

Change: an aggregator reports the answers of a repeated query as they arrive. Attempts of a fan-out are hedged at the 85th percentile of their latencies. The expected latency of a server includes the slowdown that it reported, whose excess halves in 300 ms; it does not count as the server's own slowness.

--- a/src/core/units.h
+++ b/src/core/units.h
@@ -65,6 +65,11 @@
   return Duration(static_cast<std::int64_t>(seconds * 1e6));
 }
 
+constexpr Duration Scale(Duration duration, double factor) {
+  return Duration(static_cast<Duration::rep>(
+      static_cast<double>(duration.count()) * factor));
+}
+
 }  // namespace marigold
 
 #endif  // SRC_CORE_UNITS_H_
--- a/src/net/fan_out/group_call.h
+++ b/src/net/fan_out/group_call.h
@@ -42,12 +42,14 @@
     ForwardPlan plan = this->MakePlan(now);
     const AttemptTiming timing =
         this->context.backends.Access([&](BackendDirectory& directory) {
-          return ComputeAttemptTiming(directory, plan.route, plan.deadlines);
+          return ComputeAttemptTiming(directory, plan.route, plan.deadlines,
+                                      kFanOutHedgeQuantile);
         });
     // The run itself goes on until the root gives up. Only the reports follow
     // the time at which the root wants to answer.
     plan.deadlines.answer_by = plan.deadlines.give_up_at;
-    this->progress.emplace(now, timing, this->query.max_attempts);
+    this->progress.emplace(now, timing, this->query.max_attempts,
+                           this->query.is_repeated);
     RunHandlers handlers;
     handlers.on_answer = [weak = this->weak_from_this()](std::size_t target) {
       if (const auto self = weak.lock()) {
@@ -209,8 +211,9 @@
     }
   }
 
-  // Adds all answers of the first report as one block. Later answers are blocks
-  // of their own, because another query may have answered the same shard.
+  // Adds all answers of the first report as one block. Later answers and those
+  // of a repeated query are blocks of their own, because another query may have
+  // answered the same shard.
   void AddAnswers(GroupReport& report) {
     const bool is_first = !this->progress->HasReportedAnswers();
     const std::vector<ShardPosition> answered = this->progress->TakeAnswers();
--- a/src/net/fan_out/grouped_call.h
+++ b/src/net/fan_out/grouped_call.h
@@ -188,6 +188,7 @@
       query.request_suffix += *body;
     }
     query.is_head = this->encoded.is_head;
+    query.is_repeated = step.is_repeated;
     query.max_attempts = step.max_attempts;
     query.time_left = std::max(plan.deadlines.give_up_at - now - transit_time,
                                Duration(std::chrono::milliseconds(1)));
--- a/src/policy/backend_directory.cc
+++ b/src/policy/backend_directory.cc
@@ -80,12 +80,17 @@
                                 const std::optional<ReportedLoad>& load) {
   Server& server = this->ServerAt(index);
   if (typical_latency > Duration::zero()) {
-    server.observations.AddLatency(now, latency, typical_latency);
+    // A slowdown that the server reports is added to its expected latency while
+    // it lasts, so it must not also count as the server's own slowness.
+    const double slowdown = load ? std::max(load->slowdown, 1.0) : 1.0;
+    server.observations.AddLatency(now, Scale(latency, 1 / slowdown),
+                                   typical_latency);
   }
   server.observations.AddOutcome(now, false);
   this->RecordAnswer(now, server);
   if (load) {
     server.reported_load = load->running + load->waiting;
+    server.reported_slowdown = load->slowdown;
     server.reported_at = now;
   }
   this->EndAttempt(server);
--- a/src/policy/backend_directory.h
+++ b/src/policy/backend_directory.h
@@ -224,6 +224,8 @@
     ServerObservations observations;
     // The number of running and waiting requests that the server reported last.
     std::uint32_t reported_load = 0;
+    // The slowdown of the server's machine as the server reported it last.
+    double reported_slowdown = 1;
     MonotonicTime reported_at{};
     // The time of the last answer, or the time at which the oldest attempt in
     // flight started if that is later.
--- a/src/policy/backend_directory_queries.cc
+++ b/src/policy/backend_directory_queries.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "src/policy/backend_directory.h"
@@ -14,6 +15,15 @@
 constexpr double kMaxFailureRate = 0.95;
 // The factor by which a server that has just started is slower.
 constexpr double kColdLatencyFactor = 1.6;
+// The age at which a reported slowdown has half its weight. Other programs on
+// the server's machine come and go several times a second.
+constexpr Duration kSlowdownHalfLife = std::chrono::milliseconds(300);
+
+// The expected slowdown of a server that reported `slowdown` this long ago.
+double ExpectedSlowdown(double slowdown, Duration age) {
+  return 1 + (slowdown - 1) *
+                 std::exp2(-ToSeconds(age) / ToSeconds(kSlowdownHalfLife));
+}
 
 }  // namespace
 
@@ -184,6 +194,7 @@
   view.latency_estimate = Duration(static_cast<std::int64_t>(
       static_cast<double>(typical_latency.count()) *
       server.observations.Slowness(now) * cold_factor *
+      ExpectedSlowdown(server.reported_slowdown, view.report_age) *
       (1 + kFailureCostFactor * failure_rate / (1 - failure_rate))));
   view.silent_for =
       server.in_flight > 0 ? now - server.unanswered_since : Duration::zero();
--- a/src/policy/fan_out/fan_out_types.h
+++ b/src/policy/fan_out/fan_out_types.h
@@ -152,6 +152,8 @@
   std::vector<std::optional<BackendServerId>> excluded;
   // The maximum number of servers of each shard that may run the request.
   std::uint32_t max_attempts = 1;
+  // True if another query has been sent for some of the shards before.
+  bool is_repeated = false;
 };
 
 // Ends a query whose further reports are not needed. If `is_answered` is false,
--- a/src/policy/fan_out/group_progress.h
+++ b/src/policy/fan_out/group_progress.h
@@ -13,19 +13,23 @@
 
 // Decides when an aggregator reports to the root. The answers that arrive in
 // the usual time go into one report, so that a group costs one message. Later
-// answers are reported at once, because the root may wait for them. Failures
-// are collected for a moment: when many servers lose their answers, each report
-// would otherwise cause another query for a single shard.
+// answers, and all answers of a repeated query, are reported at once, because
+// the root may wait for them. Failures are collected for a moment: when many
+// servers lose their answers, each report would otherwise cause another query
+// for a single shard.
 class GroupProgress {
  public:
   // `timing` holds the usual latencies of the route, and `max_attempts` the
   // number of attempts of the query. The first report is due when all attempts
-  // have had the usual time.
+  // have had the usual time. `is_repeated` is true if another query has been
+  // sent for the shards before.
   GroupProgress(MonotonicTime now,
                 const AttemptTiming& timing,
-                std::uint32_t max_attempts)
+                std::uint32_t max_attempts,
+                bool is_repeated = false)
       : first_report_at(now + timing.hedge_delay *
-                                  static_cast<std::int64_t>(max_attempts)) {}
+                                  static_cast<std::int64_t>(max_attempts)),
+        has_reported_answers(is_repeated) {}
 
   // Commands.
 
@@ -79,7 +83,8 @@
   MonotonicTime failures_due_at = MonotonicTime::max();
   std::vector<ShardPosition> unreported;
   std::vector<FailedShard> failures;
-  bool has_reported_answers = false;
+  // True if answers are reported as they arrive.
+  bool has_reported_answers;
 };
 
 }  // namespace marigold
--- a/src/policy/fan_out/grouped_search.h
+++ b/src/policy/fan_out/grouped_search.h
@@ -307,6 +307,7 @@
                     attempts};
     for (const ShardPosition position : group.shards) {
       ShardAttempts& shard = this->shards[position];
+      step.is_repeated = step.is_repeated || shard.WasQueried();
       shard.OnStarted(attempts, aggregator ? group.data_centre : std::nullopt);
       step.excluded.push_back(shard.excluded());
     }
--- a/src/policy/fan_out/shard_attempts.h
+++ b/src/policy/fan_out/shard_attempts.h
@@ -78,6 +78,8 @@
     return this->query_count >= kMaxRemoteQueries;
   }
 
+  bool WasQueried() const { return this->query_count > 0; }
+
   // True if another query is a retry, because a server may have received the
   // request.
   bool IsNextQueryRetry() const { return this->deliveries > 0; }
--- a/src/policy/forward_timing.cc
+++ b/src/policy/forward_timing.cc
@@ -35,11 +35,6 @@
 // The silence delay in usual report times.
 constexpr double kSilenceFactor = 1.25;
 
-Duration Scale(Duration duration, double factor) {
-  return Duration(static_cast<Duration::rep>(
-      static_cast<double>(duration.count()) * factor));
-}
-
 // Returns the target latency of the route, or `time_limit` if it has none.
 Duration TargetLatency(const Route& route, Duration time_limit) {
   return route.target_latency > Duration::zero() ? route.target_latency
@@ -107,10 +102,11 @@
 
 AttemptTiming ComputeAttemptTiming(const BackendDirectory& directory,
                                    const RouteName& route,
-                                   const ForwardDeadlines& deadlines) {
+                                   const ForwardDeadlines& deadlines,
+                                   Fraction hedge_quantile) {
   return ComputeAttemptTiming(
       {directory.LatencyQuantile(route, kTypicalQuantile),
-       directory.LatencyQuantile(route, kHedgeQuantile)},
+       directory.LatencyQuantile(route, hedge_quantile)},
       deadlines);
 }
 
--- a/src/policy/forward_timing.h
+++ b/src/policy/forward_timing.h
@@ -55,22 +55,27 @@
 // while there are too few observations.
 struct LatencyQuantiles {
   std::optional<Duration> median;
-  // About 7 % of the attempts take longer and are followed by a second one.
+  // The attempts that take longer are followed by a second one.
   std::optional<Duration> hedge;
 };
 
-// The quantiles that `LatencyQuantiles` holds.
+// The quantiles that `LatencyQuantiles` holds. The slowest of many shards
+// decides when a fan-out is answered, so its attempts are hedged earlier.
 inline constexpr Fraction kTypicalQuantile{0.5};
 inline constexpr Fraction kHedgeQuantile{0.93};
+inline constexpr Fraction kFanOutHedgeQuantile{0.85};
 
 // Computes the hedge delay of attempts with these latencies.
 AttemptTiming ComputeAttemptTiming(const LatencyQuantiles& latencies,
                                    const ForwardDeadlines& deadlines);
 
 // Computes the hedge delay from the recent latencies of the route.
+// `hedge_quantile` is the quantile of the latencies after which an attempt is
+// hedged.
 AttemptTiming ComputeAttemptTiming(const BackendDirectory& directory,
                                    const RouteName& route,
-                                   const ForwardDeadlines& deadlines);
+                                   const ForwardDeadlines& deadlines,
+                                   Fraction hedge_quantile);
 
 // The quantile of the times until an aggregator's first report from which
 // `ComputeSilenceDelay` starts.
--- a/src/policy/forwarding.h
+++ b/src/policy/forwarding.h
@@ -51,8 +51,9 @@
       return steps;
     }
     this->timing = this->table.Access([&](BackendDirectory& directory) {
-      return ComputeAttemptTiming(directory, this->plan.route,
-                                  this->plan.deadlines);
+      return ComputeAttemptTiming(
+          directory, this->plan.route, this->plan.deadlines,
+          this->plan.is_fan_out ? kFanOutHedgeQuantile : kHedgeQuantile);
     });
     for (std::size_t i = 0; i < this->targets.size(); ++i) {
       if (this->plan.earns_retries) {
--- a/src/wire/fan_out_messages.h
+++ b/src/wire/fan_out_messages.h
@@ -42,6 +42,9 @@
   std::string request_suffix;
   // The reply to a HEAD request has no body.
   bool is_head = false;
+  // True if another query has been sent for the shards before, so that the root
+  // waits for each answer.
+  bool is_repeated = false;
   std::vector<QueriedShard> shards;
   // The maximum number of servers of each shard that may run the request.
   std::uint32_t max_attempts = 1;
@@ -57,8 +60,8 @@
   template <class Archive>
   void serialize(Archive& archive) {
     archive(this->query, this->request, this->route, this->request_prefix,
-            this->request_suffix, this->is_head, this->shards,
-            this->max_attempts, this->time_left, this->answer_in,
+            this->request_suffix, this->is_head, this->is_repeated,
+            this->shards, this->max_attempts, this->time_left, this->answer_in,
             this->max_records);
   }
 };
--- a/tests/backend_directory_test.cc
+++ b/tests/backend_directory_test.cc
@@ -111,6 +111,58 @@
                *index, chosen_alone);
 }
 
+struct SlowdownRow {
+  const char* scenario;
+  // What the local server reports with answers of the usual latency times the
+  // slowdown.
+  double slowdown;
+  int answers;
+  // The time since the last answer.
+  Duration age;
+  bool expect_local;
+};
+
+const SlowdownRow kSlowdownRows[] = {
+    {"a usual machine", 1, 1, Duration::zero(), true},
+    {"a fast machine", 0.8, 1, Duration::zero(), true},
+    {"a slowed machine", 2.5, 1, Duration::zero(), false},
+    {"a slowed machine, a moment later", 2.5, 1, milliseconds(100), false},
+    {"an old report", 2.5, 1, milliseconds(1500), true},
+    {"an old report after many slow answers", 2.5, 20, milliseconds(1500),
+     true},
+};
+
+ParameterizedTestParameters(BackendDirectory, SlowedMachineIsAvoidedForAWhile) {
+  return RowIndices(kSlowdownRows);
+}
+
+// Replays servers whose machines are slowed to 2.5 times the usual latency for
+// about 600 ms. Guards against requests that are sent to a server although it
+// has just said that it is slowed, and against one that is avoided long after
+// its machine has recovered.
+ParameterizedTest(std::size_t* index,
+                  BackendDirectory,
+                  SlowedMachineIsAvoidedForAWhile) {
+  constexpr Duration kTypicalLatency = milliseconds(28);
+  const SlowdownRow& row = kSlowdownRows[*index];
+  DirectoryFixture fixture;
+  for (int i = 0; i < row.answers; ++i) {
+    const auto placed = fixture.directory.PlaceAttempt(
+        fixture.now, kService, kTypicalLatency, fixture.OtherServers(),
+        LeastExpectedDelay(), fixture.random);
+    const Duration latency = Scale(kTypicalLatency, row.slowdown);
+    fixture.now += latency;
+    fixture.directory.OnAnswer(fixture.now, *placed, latency, kTypicalLatency,
+                               ReportedLoad{0, 0, 3, row.slowdown});
+  }
+  fixture.now += row.age;
+  const auto chosen =
+      fixture.directory.PlaceAttempt(fixture.now, kService, kTypicalLatency, {},
+                                     LeastExpectedDelay(), fixture.random);
+  cr_assert_eq(fixture.NameOf(chosen) == "a", row.expect_local, "%s: chose %s",
+               row.scenario, fixture.NameOf(chosen).c_str());
+}
+
 // Guards against requests that are sent to a draining server and fail when it
 // stops.
 Test(BackendDirectory, DrainingServerGetsNoRequests) {
--- a/tests/group_progress_test.cc
+++ b/tests/group_progress_test.cc
@@ -24,6 +24,8 @@
   std::vector<int> failures;
   // The expected number of reports that the events cause.
   std::size_t expected_reports;
+  // True if another query was sent for the shards before.
+  bool is_repeated = false;
 };
 
 const ProgressRow kProgressRows[] = {
@@ -36,6 +38,9 @@
     {{5}, {6, 20}, 3},
     // Failures just before the first report go with it.
     {{5}, {29}, 1},
+    // The root waits for each answer of a repeated query.
+    {{5, 6, 20}, {}, 3, true},
+    {{5}, {6, 7, 8}, 2, true},
 };
 
 }  // namespace
@@ -51,7 +56,7 @@
   const ProgressRow& row = kProgressRows[*index];
   AttemptTiming timing;
   timing.hedge_delay = kUsualTime;
-  GroupProgress progress(kStart, timing, 1);
+  GroupProgress progress(kStart, timing, 1, row.is_repeated);
   std::size_t reports = 0;
   for (int ms = 0; ms <= 100; ++ms) {
     const MonotonicTime now = kStart + milliseconds(ms);
