Identify the customer of a request by its API key

Cause: the configuration's customers and keys were decoded but had no effect; every request was forwarded, with the caller's own X-Api-Key and X-Tenant.

Change: RouteIndex identifies the sender of a request by a keyed hash of its key and a comparison in constant time. The forwarder refuses a request without a valid key with 401, and writes the customer's name into the bytes that all sends share. Customers are validated; an error names the field and no key. ListTable refuses an update with an older route table also if its index is higher; it replaced the newer table before, and only counted the violation. marigoldctl customers and /state show the customers without their keys.

The process test has not run yet.

--- a/src/net/forward/call_log.cc
+++ b/src/net/forward/call_log.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <iterator>
+#include <optional>
 
 #include "src/core/log.h"
 
@@ -41,10 +42,12 @@
 
 void CallLog::Write(const CallSummary& summary) const {
   const ForwardDeadlines& times = summary.plan.deadlines;
+  const std::optional<CustomerId>& customer = summary.plan.customer;
   LogEvent(
       LogLevel::kInfo, "request_finished",
       {{"request", summary.request},
        {"route", summary.plan.route.value()},
+       {"customer", customer ? customer->value() : "none"},
        {"routes_version", summary.routes_version.value()},
        {"state", summary.state},
        {"targets", summary.plan.targets.size()},
--- a/src/net/forward/forwarder.h
+++ b/src/net/forward/forwarder.h
@@ -6,6 +6,7 @@
 #include <string_view>
 #include <unordered_map>
 #include <utility>
+#include <variant>
 #include <vector>
 
 #include "src/net/fan_out/group_query_server.h"
@@ -159,6 +160,7 @@
   // Most requests in progress end within this time.
   static constexpr Duration kBusyRetryAfter = std::chrono::milliseconds(200);
 
+  static constexpr int kStatusUnauthorized = 401;
   static constexpr int kStatusNotFound = 404;
   static constexpr Duration kDrainCheckInterval = std::chrono::milliseconds(20);
 
@@ -184,12 +186,24 @@
                    {kStatusNotFound, "no route matches", std::nullopt});
       return;
     }
-    this->Forward(session, *route, routes->table().version, std::move(request));
+    CallerMetadata caller_metadata = MessageCodec::ReadCaller(request);
+    const Identification identification =
+        routes->Identify(*route, caller_metadata.key);
+    if (const auto* identity = std::get_if<RequestIdentity>(&identification)) {
+      this->Forward(session, *route, routes->table().version, *identity,
+                    std::move(caller_metadata), std::move(request));
+    } else {
+      this->Refuse(session, request, "unknown_key",
+                   {kStatusUnauthorized, "the API key is missing or unknown",
+                    std::nullopt});
+    }
   }
 
   void Forward(const SessionPtr& session,
                const Route& route,
                RouteVersion version,
+               const RequestIdentity& identity,
+               CallerMetadata caller_metadata,
                CallerRequest request) {
     const MonotonicTime now = this->call_context.strand->Now();
     const MonotonicTime drain_deadline =
@@ -200,7 +214,6 @@
                     Duration::zero()});
       return;
     }
-    CallerMetadata caller_metadata = MessageCodec::ReadCaller(request);
     Duration& route_max_time_left = this->max_time_left[route.name];
     if (caller_metadata.time_left) {
       route_max_time_left =
@@ -208,6 +221,8 @@
     }
     ForwardPlan plan;
     plan.route = route.name;
+    plan.customer = identity.customer;
+    plan.priority = identity.priority;
     plan.deadlines =
         ComputeDeadlines(route, now, caller_metadata.time_left,
                          session->round_trip(), route_max_time_left);
@@ -236,9 +251,11 @@
             self->calls.erase(session_key);
           }
         }};
-    EncodedRequest encoded{std::move(caller_metadata.request),
-                           MessageCodec::MakeSendTemplate(request, {}),
-                           request.method() == boost::beast::http::verb::head};
+    EncodedRequest encoded{
+        std::move(caller_metadata.request),
+        MessageCodec::MakeSendTemplate(
+            request, {identity.is_managed, identity.customer}),
+        request.method() == boost::beast::http::verb::head};
     if (this->UsesGroups(plan, encoded)) {
       this->StartCall(
           std::make_shared<GroupedCall<MessageCodec>>(
--- a/src/policy/routes.cc
+++ b/src/policy/routes.cc
@@ -56,6 +56,16 @@
   }
 }
 
+void AddCustomerErrors(const std::vector<RoutedCustomer>& customers,
+                       std::vector<std::string>& errors) {
+  for (const CustomerError& error : ValidateCustomers(customers)) {
+    errors.push_back(fmt::format("customer {} ({}): {}: expected {}",
+                                 customers[error.index].customer.value(),
+                                 error.index, ToString(error.field),
+                                 error.expected));
+  }
+}
+
 std::string_view WithoutPort(std::string_view host) {
   return host.substr(0, host.find(':'));
 }
@@ -78,10 +88,13 @@
                       route.name.value(), route.host, route.path_prefix));
     }
   }
+  if (table.customers) {
+    AddCustomerErrors(*table.customers, errors);
+  }
   return errors;
 }
 
-RouteIndex::RouteIndex(RouteTable route_table)
+RouteIndex::RouteIndex(RouteTable route_table, const KeyedHash& key_hash)
     : indexed_table(std::move(route_table)) {
   for (const Route& route : this->indexed_table.routes) {
     this->routes_by_host[route.host][route.path_prefix] = &route;
@@ -89,6 +102,9 @@
   for (const RoutedService& service : this->indexed_table.services) {
     this->connection_limits[service.service] = service.connection_limit;
   }
+  if (this->indexed_table.customers) {
+    this->customers.emplace(*this->indexed_table.customers, key_hash);
+  }
 }
 
 const Route* RouteIndex::Match(std::string_view host,
@@ -110,6 +126,21 @@
   return nullptr;
 }
 
+Identification RouteIndex::Identify(const Route& route,
+                                    const std::optional<ApiKey>& key) const {
+  RequestIdentity identity{this->customers.has_value(), {}, route.priority};
+  if (!identity.is_managed) {
+    return identity;
+  }
+  const RoutedCustomer* customer = key ? this->customers->Find(*key) : nullptr;
+  if (customer == nullptr) {
+    return route.is_public ? Identification(identity) : UnknownKey();
+  }
+  identity.customer = customer->customer;
+  identity.priority = customer->priority.value_or(route.priority);
+  return identity;
+}
+
 std::uint32_t RouteIndex::ConnectionLimit(const ServiceId& service) const {
   const auto found = this->connection_limits.find(service);
   return found == this->connection_limits.end() ? 0 : found->second;
--- a/src/policy/routes.h
+++ b/src/policy/routes.h
@@ -11,6 +11,7 @@
 
 #include "src/core/ids.h"
 #include "src/core/units.h"
+#include "src/policy/customers.h"
 
 namespace marigold {
 
@@ -81,45 +82,6 @@
   }
 };
 
-// The requests that a customer may make over all entry VMs together.
-struct QuotaLimit {
-  RatePerSecond rate;
-  // The number of requests beyond the rate that may arrive at once.
-  double burst = 0;
-
-  bool is_unlimited() const { return this->rate.value() <= 0; }
-
-  bool operator==(const QuotaLimit&) const = default;
-
-  template <class Archive>
-  void save(Archive& archive) const {
-    archive(this->rate.value(), this->burst);
-  }
-
-  template <class Archive>
-  void load(Archive& archive) {
-    double requests_per_second = 0;
-    archive(requests_per_second, this->burst);
-    this->rate = RatePerSecond(requests_per_second);
-  }
-};
-
-// A customer that may send requests.
-struct RoutedCustomer {
-  CustomerId customer;
-  std::vector<ApiKey> keys;
-  // Takes precedence over the priority of a route.
-  std::optional<std::uint32_t> priority;
-  QuotaLimit quota;
-
-  bool operator==(const RoutedCustomer&) const = default;
-
-  template <class Archive>
-  void serialize(Archive& archive) {
-    archive(this->customer, this->keys, this->priority, this->quota);
-  }
-};
-
 // A service that routes refer to.
 struct RoutedService {
   ServiceId service;
@@ -131,7 +93,7 @@
   Duration cold_time{};
   // The requests per second that a cold backend server can handle, from all
   // entry VMs together; 0 if there is no limit.
-  RatePerSecond cold_rate;
+  RatePerSecond cold_rate{};
 
   bool operator==(const RoutedService&) const = default;
 
@@ -191,10 +153,11 @@
 // invalid field. Returns an empty list for a valid table.
 std::vector<std::string> ValidateRoutes(const RouteTable& table);
 
-// Finds the route of a request. Immutable.
+// Finds the route and the customer of a request. Immutable.
 class RouteIndex {
  public:
-  explicit RouteIndex(RouteTable route_table);
+  // `key_hash` hashes the API keys.
+  RouteIndex(RouteTable route_table, const KeyedHash& key_hash);
 
   RouteIndex(const RouteIndex&) = delete;
   RouteIndex& operator=(const RouteIndex&) = delete;
@@ -204,6 +167,11 @@
   // `host` and a query string in `path`.
   const Route* Match(std::string_view host, std::string_view path) const;
 
+  // Identifies the sender of a request to `route`. `key` is the API key that
+  // the request carries, if any.
+  Identification Identify(const Route& route,
+                          const std::optional<ApiKey>& key) const;
+
   // The connection limit of a service, or 0 if it is unknown.
   std::uint32_t ConnectionLimit(const ServiceId& service) const;
 
@@ -215,6 +183,8 @@
   RouteTable indexed_table;
   std::unordered_map<std::string_view, RoutesByPrefix> routes_by_host;
   std::unordered_map<ServiceId, std::uint32_t> connection_limits;
+  // Absent if requests need no key.
+  std::optional<CustomerIndex> customers;
 };
 
 }  // namespace marigold
--- a/src/programs/forward_admin.cc
+++ b/src/programs/forward_admin.cc
@@ -72,10 +72,14 @@
 
 std::string ForwardAdmin::StateJson() const {
   const auto routes = this->sources.lists.Routes();
-  return fmt::format(R"({{"routes_version":{},"lists_confirmed_age_ms":{:.0f},)"
+  const std::size_t customers = routes && routes->table().customers
+                                    ? routes->table().customers->size()
+                                    : 0;
+  return fmt::format(R"({{"routes_version":{},"customers":{},)"
+                     R"("lists_confirmed_age_ms":{:.0f},)"
                      R"("listed_servers":{},"listing_age_ms":{:.0f},)"
                      R"("connections":{},"leaving":{}}})",
-                     routes ? routes->table().version.value() : 0,
+                     routes ? routes->table().version.value() : 0, customers,
                      ToMilliseconds(this->sources.lists_confirmed_age()),
                      this->sources.listing.Servers()->size(),
                      ListingAgeMs(this->sources.listing, this->clock.Now()),
--- a/src/programs/marigoldctl.cc
+++ b/src/programs/marigoldctl.cc
@@ -10,6 +10,7 @@
 #include "src/core/log.h"
 #include "src/core/settings.h"
 #include "src/ctl/control_group.h"
+#include "src/ctl/customer_queries.h"
 #include "src/ctl/group_queries.h"
 #include "src/ctl/list_commands.h"
 #include "src/ctl/list_queries.h"
@@ -27,6 +28,7 @@
     "  diff plans|usage FILE           print what putting a file would change\n"
     "  put plans|usage FILE            edit a list\n"
     "  history                         print the latest edits\n"
+    "  customers                       print customers, without their keys\n"
     "  status                          print control VMs, members, entry VMs\n"
     "  dump                            print all of that as JSON\n"
     "  member add IP:PORT [learner]    add a control VM as a spare or learner\n"
@@ -169,6 +171,9 @@
                         static_cast<std::uint64_t>(settings.history_limit),
                         settings.prints_json);
   }
+  if (arguments[0] == "customers") {
+    return PrintCustomers(group, settings.prints_json);
+  }
   if (arguments[0] == "status") {
     return PrintStatus(group, settings.prints_json);
   }
--- a/src/tables/list_table.cc
+++ b/src/tables/list_table.cc
@@ -36,6 +36,14 @@
   if (update.to <= this->index_in_force) {
     return ListUpdateResult::kStale;
   }
+  const bool has_older_routes =
+      update.routes && this->routes &&
+      update.routes->version < this->routes->table().version;
+  CheckInvariant(Invariant::kListNeverReverts, !has_older_routes,
+                 "an update has a route table of an older version");
+  if (has_older_routes) {
+    return ListUpdateResult::kStale;
+  }
   if (update.full_lists) {
     const bool is_older = IsOlder(*update.full_lists, this->lists);
     CheckInvariant(Invariant::kListNeverReverts, !is_older,
@@ -54,11 +62,8 @@
     }
   }
   if (update.routes) {
-    CheckInvariant(Invariant::kListNeverReverts,
-                   !this->routes ||
-                       update.routes->version >= this->routes->table().version,
-                   "an update has a route table of an older version");
-    this->routes = std::make_shared<const RouteIndex>(*update.routes);
+    this->routes =
+        std::make_shared<const RouteIndex>(*update.routes, this->key_hash);
   }
   this->index_in_force = update.to;
   this->last_change = now;
--- a/src/tables/list_table.h
+++ b/src/tables/list_table.h
@@ -6,6 +6,8 @@
 #include <vector>
 
 #include "src/commands/control_commands.h"
+#include "src/core/keyed_hash.h"
+#include "src/core/random.h"
 #include "src/core/ranked_mutex.h"
 #include "src/core/units.h"
 #include "src/policy/routes.h"
@@ -34,8 +36,8 @@
 
 enum class ListUpdateResult {
   kApplied,
-  // The index in force is already `to` or higher, or the full lists are of an
-  // older version.
+  // The index in force is already `to` or higher, or the full lists or the
+  // routes are of an older version.
   kStale,
   // The index in force is not `from`, or the edits expect other versions. The
   // full lists are needed.
@@ -57,7 +59,8 @@
  public:
   // Commands.
 
-  // Applies an update. The index in force never decreases.
+  // Applies an update. The index and the version of the routes in force never
+  // decrease.
   ListUpdateResult Apply(MonotonicTime now, const ListUpdate& update);
 
   // Queries.
@@ -80,6 +83,8 @@
   mutable RankedMutex<LockRank::kListTable> mutex;
   Lists lists;
   std::shared_ptr<const RouteIndex> routes;
+  // Has the secret of this process.
+  KeyedHash key_hash{SeededRandom(SystemSeed())};
   LogIndex index_in_force;
   MonotonicTime last_change;
 };
--- a/tests/config_codec_test.cc
+++ b/tests/config_codec_test.cc
@@ -65,6 +65,17 @@
     {"\"Burst\":12", "\"Burst\":\"12\"", "Tenants[0].Burst"},
     {"\"Priority\":0,", "\"Priority\":-1,", "Tenants[0].Priority"},
     {"{\"Name\":\"south\"}", "7", "Tenants"},
+    {"{\"Name\":\"south\"}", "{\"Name\":\"north\"}", "Tenants[1].Name"},
+    {"\"south\"", "\"south\\n\"", "Tenants[1].Name"},
+    {"{\"Name\":\"south\"}", "{\"Name\":\"south\",\"ApiKeys\":[\"k2\"]}",
+     "Tenants[1].ApiKeys"},
+    {"\"k1\",\"k2\"", "\"k1\",\"k1\"", "Tenants[0].ApiKeys"},
+    {"[\"k1\",\"k2\"]", "\"k1\"", "Tenants[0].ApiKeys"},
+    {"[\"k1\",\"k2\"]", "[\"k1\",2]", "Tenants[0].ApiKeys"},
+    {"[\"k1\",\"k2\"]", "[\"k1\",\"k2\"", ""},
+    {"\"Burst\":12", "\"Burst\":-0.5", "Tenants[0].Burst"},
+    {"\"Burst\":12", "\"Burst\":1e10", "Tenants[0].Burst"},
+    {"\"Burst\":12", "\"Burst\":1e999", ""},
     {"\"Later\":{\"unknown\":true}}", "", ""},
 };
 
@@ -122,6 +133,11 @@
   const std::string actual = ToString(*error);
   cr_assert(Contains(actual, row.expected), "row %zu: expected %s, actual %s",
             *index, row.expected, actual.c_str());
+  for (const char* key : {"k1", "k2"}) {
+    cr_assert_not(Contains(actual, key),
+                  "row %zu: the error contains a key: %s", *index,
+                  actual.c_str());
+  }
 }
 
 }  // namespace marigold::platform
--- a/tests/control_codec_test.cc
+++ b/tests/control_codec_test.cc
@@ -56,6 +56,18 @@
           std::chrono::milliseconds(5)};
 }
 
+RouteTable SampleRoutes() {
+  RouteTable routes;
+  routes.version = RouteVersion(7);
+  routes.routes.emplace_back().is_public = true;
+  routes.customers = {{CustomerId("acme"),
+                       {ApiKey("k-1"), ApiKey("k-2")},
+                       2,
+                       {RatePerSecond(48.5), 12}},
+                      {CustomerId("beta"), {}, {}, {}}};
+  return routes;
+}
+
 // Messages of most kinds, with different values of their nested variants.
 const ControlMessage kMessages[] = {
     PeerMessage{{"127.0.1.1", 7100}, SampleAppend()},
@@ -68,6 +80,8 @@
                {},
                {PutPlans("c", 1, {Plan("acme", "gold")}, {"old"})}},
     ListUpdate{LogIndex(0), LogIndex(2), SampleLists(), {}},
+    ListUpdate{LogIndex(1), LogIndex(2), {}, {}, SampleRoutes()},
+    Submit{CallId(1), PutRoutes{SampleRoutes(), "document"}},
     Submit{CallId(1), PutUsage("c", 1, {Usage("gold")}, {"old"})},
     Submit{CallId(1), ClaimAction{IdempotencyKey("k"), CustomerId("c"),
                                   ClaimToken(1), VmId("vm"), -1, 2}},
--- a/tests/control_state_test.cc
+++ b/tests/control_state_test.cc
@@ -318,4 +318,30 @@
             "expected equal images, actual different ones");
 }
 
+// Guards against a removed key that comes back with an older route table after
+// a restart, and against customers that the image lacks.
+Test(ControlState, RestoredRoutesKeepCustomersAndRefuseOlderVersions) {
+  const auto routes = [](std::uint64_t version, std::vector<ApiKey> keys) {
+    PutRoutes put;
+    put.table.version = RouteVersion(version);
+    put.table.customers = {
+        {CustomerId("acme"), std::move(keys), 2, {RatePerSecond(48.5), 12}},
+        {CustomerId("beta"), {}, {}, {}}};
+    return put;
+  };
+  const PutRoutes before = routes(1, {ApiKey("old"), ApiKey("new")});
+  const PutRoutes after = routes(2, {ApiKey("new")});
+  StateUnderTest restarted;
+  restarted.Apply(before);
+  restarted.Reload();
+  restarted.Apply(after);
+  restarted.Reload();
+  const auto outcome = std::get<PutRoutesOutcome>(restarted.Apply(before));
+  cr_assert(!outcome.changed && outcome.version == RouteVersion(2),
+            "expected version 2 unchanged, actual version %lu",
+            outcome.version.value());
+  cr_assert(restarted.state.routes()->table == after.table,
+            "expected the customers of version 2");
+}
+
 }  // namespace marigold
--- a/tests/list_table_test.cc
+++ b/tests/list_table_test.cc
@@ -4,6 +4,8 @@
 #include <criterion/parameterized.h>
 
 #include <string>
+#include <utility>
+#include <variant>
 #include <vector>
 
 #include "src/core/invariant.h"
@@ -96,8 +98,80 @@
     {"nobody", ""},
 };
 
+// A route table with one route and one customer, which has one key.
+RouteTable RoutesWithKey(std::uint64_t version, const char* key) {
+  RouteTable routes;
+  routes.version = RouteVersion(version);
+  routes.routes.emplace_back();
+  routes.customers = {{CustomerId("acme"), {ApiKey(key)}, {}, {}}};
+  return routes;
+}
+
+ListUpdate WithRoutes(ListUpdate update, RouteTable routes) {
+  update.routes = std::move(routes);
+  return update;
+}
+
+struct RoutesRow {
+  const char* behaviour;
+  ListUpdate update;
+  ListUpdateResult result;
+  std::uint64_t version;
+};
+
+// Each update follows full lists with index 8 and routes of version 7, which
+// removed the key "old".
+const RoutesRow kRoutesRows[] = {
+    {"full lists of an entry VM that was cut off",
+     WithRoutes(FullLists(6, 4), RoutesWithKey(6, "old")),
+     ListUpdateResult::kStale, 7},
+    {"older routes with a higher index, as after a rollback",
+     WithRoutes(FullLists(9, 4), RoutesWithKey(6, "old")),
+     ListUpdateResult::kStale, 7},
+    {"older routes in the next delta",
+     WithRoutes(Delta(8, 9, {}), RoutesWithKey(6, "old")),
+     ListUpdateResult::kStale, 7},
+    {"routes of the same version with a higher index",
+     WithRoutes(FullLists(9, 4), RoutesWithKey(7, "new")),
+     ListUpdateResult::kApplied, 7},
+    {"delta without routes", Delta(8, 9, {}), ListUpdateResult::kApplied, 7},
+    {"newer routes in the next delta",
+     WithRoutes(Delta(8, 9, {}), RoutesWithKey(8, "new")),
+     ListUpdateResult::kApplied, 8},
+};
+
+bool AcceptsKey(const ListTable& table, const char* key) {
+  const auto routes = table.Routes();
+  return std::holds_alternative<RequestIdentity>(
+      routes->Identify(routes->table().routes.front(), ApiKey(key)));
+}
+
 }  // namespace
 
+ParameterizedTestParameters(ListTable, RemovedKeyStaysRefused) {
+  return RowIndices(kRoutesRows);
+}
+
+// Guards against a removed key that is accepted again because an older route
+// table comes into force.
+ParameterizedTest(std::size_t* index, ListTable, RemovedKeyStaysRefused) {
+  const RoutesRow& row = kRoutesRows[*index];
+  ListTable table;
+  table.Apply(MonotonicTime(),
+              WithRoutes(FullLists(5, 3), RoutesWithKey(6, "old")));
+  cr_assert(AcceptsKey(table, "old"), "expected the key to be accepted");
+  table.Apply(MonotonicTime(),
+              WithRoutes(FullLists(8, 4), RoutesWithKey(7, "new")));
+  const ListUpdateResult result = table.Apply(MonotonicTime(), row.update);
+  const std::uint64_t version = table.Routes()->table().version.value();
+  cr_assert(result == row.result && version == row.version,
+            "%s: expected result %d and version %lu, actual %d and %lu",
+            row.behaviour, static_cast<int>(row.result), row.version,
+            static_cast<int>(result), version);
+  cr_assert(!AcceptsKey(table, "old") && AcceptsKey(table, "new"),
+            "%s: expected only the new key to be accepted", row.behaviour);
+}
+
 ParameterizedTestParameters(ListTable, AppliesUpdate) {
   return RowIndices(kUpdateRows);
 }
--- a/tests/platform/platform_standin.cc
+++ b/tests/platform/platform_standin.cc
@@ -50,6 +50,9 @@
   std::int64_t listed_port = kServerPort;
   // The file to which a line is appended for each request that runs.
   std::string record = "/dev/null";
+  // The file to which a line is appended for each request that arrives, with
+  // all its header fields.
+  std::string fields_record = "/dev/null";
 };
 
 struct Server {
@@ -65,7 +68,20 @@
              : std::string(found->value().data(), found->value().size());
 }
 
-// The file with the requests that ran on all servers.
+// Returns the id of the server and all header fields of the request in one
+// line.
+std::string FormatFields(const Server& server, const CallerRequest& request) {
+  std::string line = server.id;
+  for (const auto& field : request) {
+    line += fmt::format(
+        " | {}: {}",
+        std::string(field.name_string().data(), field.name_string().size()),
+        std::string(field.value().data(), field.value().size()));
+  }
+  return line;
+}
+
+// A file with one line for each of some requests to all servers.
 class RequestLog {
  public:
   explicit RequestLog(const std::string& path) : file(path, std::ios::app) {}
@@ -83,7 +99,10 @@
 class Standin {
  public:
   explicit Standin(const StandinSettings& standin_settings)
-      : settings(standin_settings), record(standin_settings.record), pool(2) {
+      : settings(standin_settings),
+        record(standin_settings.record),
+        fields_record(standin_settings.fields_record),
+        pool(2) {
     int address_suffix = 0;
     for (const std::string& service : Split(this->settings.services, ',')) {
       for (std::int64_t i = 0; i < this->settings.replicas; ++i) {
@@ -165,6 +184,7 @@
               const std::shared_ptr<CallerSession>& session,
               const CallerRequest& request) {
     const std::string target(request.target().data(), request.target().size());
+    this->fields_record.Add(FormatFields(server, request));
     if (FieldOf(request, "X-Expect-Instance") != server.id) {
       session->Answer(
           FormatReply(server, request, 421, "X-Not-Executed: 1\r\n", ""),
@@ -238,6 +258,7 @@
   StandinSettings settings;
   std::vector<Server> servers;
   RequestLog record;
+  RequestLog fields_record;
   std::atomic<std::uint64_t> last_stamp = 0;
   // By request and server: the connection on which the request was refused.
   // Used only on the one strand that all servers share.
@@ -272,6 +293,9 @@
                   "Port of the servers in the list; they listen on 9000.");
   table.AddText("record", settings.record, "file",
                 "File to which each request that runs is appended.");
+  table.AddText(
+      "fields-record", settings.fields_record, "file",
+      "File to which the header fields of each request are appended.");
   const auto outcome = marigold::ParseSettings(table, argc, argv);
   if (const auto code = marigold::ReportSettings(table, outcome)) {
     return *code;
--- a/tests/platform/system.sh
+++ b/tests/platform/system.sh
@@ -21,6 +21,10 @@
 recovery_ms=12000
 # The limit of a caller's body in the configurations.
 max_body_bytes=${max_body_bytes:-262144}
+# The customers in the configurations, as a JSON array or null.
+tenants=${tenants:-null}
+# Whether the route whose path names the version needs no key.
+newest_is_public=${newest_is_public:-false}
 declare -A pids
 
 cleanup() {
@@ -101,7 +105,9 @@
  {"Name":"act","Host":"a.example","PathPrefix":"/act/",
   "RouteType":"non_idempotent","TimeoutMs":$2,"TargetLatencyMs":200,"Backend":"s1","Attempts":2},
  {"Name":"newest","Host":"a.example","PathPrefix":"/v$1/","RouteType":"idempotent",
-  "TimeoutMs":$2,"TargetLatencyMs":200,"Backend":"s1","Attempts":2}],
+  "TimeoutMs":$2,"TargetLatencyMs":200,"Backend":"s1","Attempts":2,
+  "Public":$newest_is_public}],
+ "Tenants":$tenants,
  "Backends":[{"Name":"s1","HealthPath":"/health","MaxConnections":50},
   {"Name":"s2","HealthPath":"/health","MaxConnections":50}],
  "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":$max_body_bytes,
@@ -152,7 +158,8 @@
 
 start_standin() {
   "$bin/platform-standin" --list=$list --services=s1,s2 --replicas=$replicas \
-    --network=$base.1 --record="$work/record" >"$work/standin.log" 2>&1 &
+    --network=$base.1 --record="$work/record" \
+    --fields-record="${fields_record:-/dev/null}" >"$work/standin.log" 2>&1 &
   pids[standin]=$!
   disown
 }
--- a/tests/routes_test.cc
+++ b/tests/routes_test.cc
@@ -97,7 +97,7 @@
 // a shorter prefix or another host has matched.
 ParameterizedTest(std::size_t* index, Routes, LongestPrefixOfTheHostWins) {
   const MatchRow& row = kMatchRows[*index];
-  const RouteIndex routes(ValidTable());
+  const RouteIndex routes(ValidTable(), KeyedHash(SeededRandom(1)));
   const Route* route = routes.Match(row.host, row.path);
   const std::string actual = route == nullptr ? "" : route->name.value();
   cr_assert_eq(actual, std::string(row.expected), "row %zu: actual %s", *index,
