--- a/src/policy/decaying_count.h
+++ b/src/policy/decaying_count.h
@@ -2,6 +2,7 @@
 #define SRC_POLICY_DECAYING_COUNT_H_
 
 #include <cmath>
+#include <numbers>
 
 #include "src/core/units.h"
 
@@ -28,6 +29,15 @@
     return this->count * std::exp2(-half_lives);
   }
 
+  // The average rate of the last seconds, in which recent events have more
+  // weight.
+  RatePerSecond RateAt(MonotonicTime now) const {
+    return RatePerSecond(this->ValueAt(now) / kMeanSeconds);
+  }
+
+  // The sum of the weights at a constant rate of 1 per second.
+  static constexpr double kMeanSeconds = 4 / std::numbers::ln2;
+
  private:
   static constexpr Duration kHalfLife = std::chrono::seconds(4);
 
