--- a/src/core/lock_rank.h
+++ b/src/core/lock_rank.h
@@ -11,6 +11,7 @@
   kSubscribers = 30,
   kListing = 35,
   kListTable = 40,
+  kQuotas = 45,
   kAdmission = 50,
   kShares = 60,
   kOpenRequests = 65,
--- a/src/net/control/control_client.cc
+++ b/src/net/control/control_client.cc
@@ -240,6 +240,21 @@
   }
 }
 
+void ControlClient::SendQuotaReport(QuotaUsageReport report) {
+  this->impl->queue.Post([impl = this->impl, report = std::move(report)] {
+    if (impl->stream) {
+      impl->stream->Send(report);
+    }
+  });
+}
+
+void ControlClient::SetQuotaStateHandler(
+    std::function<void(const QuotaState&)> on_state) {
+  if (this->impl->stream) {
+    this->impl->stream->SetQuotaStateHandler(std::move(on_state));
+  }
+}
+
 void ControlClient::SetAggregatorsHandler(
     std::function<void(const AggregatorUpdate&)> on_aggregators) {
   if (this->impl->stream) {
--- a/src/net/control/control_client.h
+++ b/src/net/control/control_client.h
@@ -79,6 +79,14 @@
   // be called before `Start`.
   void SetHintsHandler(std::function<void(const ServerHints&)> on_hints);
 
+  // Sends a report about the use of quotas to the leader through the control VM
+  // that the client follows. It is dropped while the client follows none.
+  void SendQuotaReport(QuotaUsageReport report);
+
+  // Sets the callback for quota states of the control group. It runs on any
+  // worker. Must be called before `Start`.
+  void SetQuotaStateHandler(std::function<void(const QuotaState&)> on_state);
+
   // Sets the callback for changes of the set of entry VMs that answer queries.
   // It runs on any worker. Must be called before `Start`.
   void SetAggregatorsHandler(
--- a/src/net/control/control_driver.cc
+++ b/src/net/control/control_driver.cc
@@ -258,6 +258,15 @@
   }
 }
 
+void ControlDriver::SendToLeader(const ControlMessage& message) {
+  const ControlStatus status = this->impl->table.Status();
+  const Member* leader =
+      status.leader ? status.membership.Find(*status.leader) : nullptr;
+  if (leader != nullptr && leader->address != this->impl->settings.address) {
+    this->impl->links->Send(leader->address, EncodeControlMessage(message));
+  }
+}
+
 void ControlDriver::Drain(std::function<void()> on_drained) {
   this->impl->Post(detail::DrainInput{std::move(on_drained)});
 }
--- a/src/net/control/control_driver.h
+++ b/src/net/control/control_driver.h
@@ -118,6 +118,9 @@
   // Sends a message to all other members. It is dropped for those that are
   // unreachable.
   void Broadcast(const ControlMessage& message);
+  // Sends a message to the leader. It is dropped if the leader is unknown,
+  // unreachable or this VM.
+  void SendToLeader(const ControlMessage& message);
   // Refuses new commands, and calls `on_drained` once every command accepted
   // before has been answered.
   void Drain(std::function<void()> on_drained);
--- a/src/net/control/control_http.cc
+++ b/src/net/control/control_http.cc
@@ -41,7 +41,8 @@
 HttpResponse AnswerControlHttp(const HttpRequest& request,
                                const ControlDriver& driver,
                                const SubscriberHub& hub,
-                               const ControlTable& table) {
+                               const ControlTable& table,
+                               const QuotaCoordinationTable& quotas) {
   if (request.method != HttpMethod::kGet) {
     return NotFoundResponse();
   }
@@ -52,12 +53,15 @@
   }
   HttpResponse response;
   if (request.path == "/state") {
-    response.body = boost::json::serialize(ToJson(status));
+    boost::json::object state = ToJson(status);
+    state["limited_customers"] = ToJson(quotas.Limited());
+    response.body = boost::json::serialize(state);
     return response;
   }
   if (request.path == "/metrics") {
     response.content_type = "text/plain; version=0.0.4";
-    response.body = ControlMetricsText(driver.counters(), status);
+    response.body =
+        ControlMetricsText(driver.counters(), status, quotas.Limited());
     return response;
   }
   return NotFoundResponse();
--- a/src/net/control/control_metrics.cc
+++ b/src/net/control/control_metrics.cc
@@ -1,6 +1,7 @@
 #include <prometheus/metric_family.h>
 #include <prometheus/text_serializer.h>
 
+#include <algorithm>
 #include <sstream>
 #include <string>
 #include <utility>
@@ -136,10 +137,28 @@
   };
 }
 
+std::vector<Sample> QuotaSamples(
+    const std::vector<QuotaCustomerStatus>& limited) {
+  Fraction lowest_ratio(1);
+  for (const QuotaCustomerStatus& customer : limited) {
+    lowest_ratio = std::min(lowest_ratio, customer.ratio);
+  }
+  return {
+      {"marigold_control_quota_limited_customers",
+       "Customers with an admission ratio below 1; 0 unless this VM leads.",
+       MetricType::Gauge, static_cast<double>(limited.size())},
+      {"marigold_control_quota_lowest_ratio",
+       "Lowest admission ratio; 1 unless this VM leads.", MetricType::Gauge,
+       lowest_ratio.value()},
+  };
+}
+
 }  // namespace
 
-std::string ControlMetricsText(const ControlCounters& counters,
-                               const ControlStatus& status) {
+std::string ControlMetricsText(
+    const ControlCounters& counters,
+    const ControlStatus& status,
+    const std::vector<QuotaCustomerStatus>& limited) {
   std::vector<MetricFamily> families;
   for (const Sample& sample : CounterSamples(counters)) {
     families.push_back(ToFamily(sample));
@@ -147,6 +166,9 @@
   for (const Sample& sample : StatusSamples(status)) {
     families.push_back(ToFamily(sample));
   }
+  for (const Sample& sample : QuotaSamples(limited)) {
+    families.push_back(ToFamily(sample));
+  }
   families.push_back(InvariantViolationFamily());
   return prometheus::TextSerializer().Serialize(families);
 }
--- a/src/net/control/control_server.cc
+++ b/src/net/control/control_server.cc
@@ -38,14 +38,16 @@
                  const ControlTable& control_table,
                  ListingTable& listing_table,
                  std::shared_ptr<HintRelay> hint_relay,
-                 std::shared_ptr<AggregatorSharing> aggregator_sharing)
+                 std::shared_ptr<AggregatorSharing> aggregator_sharing,
+                 std::shared_ptr<QuotaRelay> quota_relay)
       : connection(framed_connection),
         driver(std::move(control_driver)),
         hub(std::move(subscriber_hub)),
         table(control_table),
         listing(listing_table),
         relay(std::move(hint_relay)),
-        sharing(std::move(aggregator_sharing)) {}
+        sharing(std::move(aggregator_sharing)),
+        quotas(std::move(quota_relay)) {}
 
   void Start(const std::shared_ptr<FramedConnection>& framed_connection) {
     FramedHandlers handlers;
@@ -95,6 +97,9 @@
   void On(Subscribe& request) {
     if (const auto framed_connection = this->connection.lock()) {
       this->hub->Subscribe(framed_connection, request);
+      if (auto state = this->quotas->NewestState()) {
+        SendTo(this->connection, std::move(*state));
+      }
     }
   }
 
@@ -178,6 +183,14 @@
 
   void On(AggregatorSet& received) { this->sharing->OnPeerSet(received); }
 
+  void On(QuotaUsageReport& report) {
+    this->quotas->OnReport(std::move(report));
+  }
+
+  void On(QuotaUsageReports& reports) { this->quotas->OnReports(reports); }
+
+  void On(QuotaState& state) { this->quotas->OnState(state); }
+
   // Refuses messages that are never sent to a control VM, such as replies.
   template <class Message>
   void On(Message&) {
@@ -200,6 +213,7 @@
   ListingTable& listing;
   const std::shared_ptr<HintRelay> relay;
   const std::shared_ptr<AggregatorSharing> sharing;
+  const std::shared_ptr<QuotaRelay> quotas;
   SystemClock clock;
   MonotonicTime last_reply_at;
 };
@@ -218,7 +232,8 @@
     const ControlTable& table,
     ListingTable& listing,
     std::shared_ptr<HintRelay> relay,
-    std::shared_ptr<AggregatorSharing> sharing) {
+    std::shared_ptr<AggregatorSharing> sharing,
+    std::shared_ptr<QuotaRelay> quota_relay) {
   FramedLimits limits;
   limits.silence_timeout = kSilenceTimeout;
   auto impl = std::make_unique<Impl>();
@@ -227,10 +242,10 @@
       FramedServer::Listen(
           pool, endpoint, limits, kMaxConnections,
           [driver, hub, &table, &listing, relay = std::move(relay),
-           sharing = std::move(sharing)](
+           sharing = std::move(sharing), quotas = std::move(quota_relay)](
               const std::shared_ptr<FramedConnection>& connection) {
             std::make_shared<ControlSession>(connection, driver, hub, table,
-                                             listing, relay, sharing)
+                                             listing, relay, sharing, quotas)
                 ->Start(connection);
           }));
   return std::unique_ptr<ControlServer>(new ControlServer(std::move(impl)));
--- a/src/net/control/control_server.h
+++ b/src/net/control/control_server.h
@@ -8,6 +8,7 @@
 #include "src/net/control/control_driver.h"
 #include "src/net/control/framed_server.h"
 #include "src/net/control/hint_relay.h"
+#include "src/net/control/quota_relay.h"
 #include "src/net/control/subscriber_hub.h"
 #include "src/net/worker_pool.h"
 #include "src/tables/control_table.h"
@@ -29,7 +30,8 @@
       const ControlTable& table,
       ListingTable& listing,
       std::shared_ptr<HintRelay> relay,
-      std::shared_ptr<AggregatorSharing> sharing);
+      std::shared_ptr<AggregatorSharing> sharing,
+      std::shared_ptr<QuotaRelay> quota_relay);
   ~ControlServer();
 
   ControlServer(const ControlServer&) = delete;
--- a/src/net/control/list_stream.cc
+++ b/src/net/control/list_stream.cc
@@ -120,6 +120,8 @@
     this->on_hints(*hints);
   } else if (const auto* aggregators = std::get_if<AggregatorUpdate>(message)) {
     this->on_aggregators(*aggregators);
+  } else if (const auto* state = std::get_if<QuotaState>(message)) {
+    this->on_quota_state(*state);
   }
 }
 
@@ -157,6 +159,11 @@
   this->on_aggregators = std::move(handler);
 }
 
+void ListStream::SetQuotaStateHandler(
+    std::function<void(const QuotaState&)> handler) {
+  this->on_quota_state = std::move(handler);
+}
+
 void ListStream::SetListedHandler(
     std::function<void(const std::vector<ListedControl>&)> handler) {
   this->on_listed = std::move(handler);
--- a/src/net/control/list_stream.h
+++ b/src/net/control/list_stream.h
@@ -49,6 +49,8 @@
   // before `Start`.
   void SetAggregatorsHandler(
       std::function<void(const AggregatorUpdate&)> on_aggregators);
+  // Sets the callback for quota states. Must be called before `Start`.
+  void SetQuotaStateHandler(std::function<void(const QuotaState&)> handler);
   // Sets the callback for the members that a control VM in contact with a
   // quorum lists. Must be called before `Start`.
   void SetListedHandler(
@@ -114,6 +116,8 @@
   std::function<void(const ServerHints&)> on_hints = [](const ServerHints&) {};
   std::function<void(const AggregatorUpdate&)> on_aggregators =
       [](const AggregatorUpdate&) {};
+  std::function<void(const QuotaState&)> on_quota_state =
+      [](const QuotaState&) {};
   std::function<void(const std::vector<ListedControl>&)> on_listed =
       [](const std::vector<ListedControl>&) {};
   SystemClock clock;
--- a/src/net/forward/call_end.cc
+++ b/src/net/forward/call_end.cc
@@ -14,6 +14,9 @@
   summary.state = caller.is_disconnected ? "caller_gone" : ToString(state);
   metrics.OnFinished(summary.state, summary.latency);
   log.Write(summary);
+  if (state == ForwardState::kNotRun && summary.send_count == 0) {
+    caller.on_not_sent();
+  }
   // Called before the answer, because the session may begin its next request
   // while it sends the answer.
   caller.on_finished();
--- a/src/net/forward/call_end.h
+++ b/src/net/forward/call_end.h
@@ -27,6 +27,8 @@
   bool is_disconnected = false;
   // Called once the call has ended.
   std::function<void()> on_finished;
+  // Called if the request ended without having been sent anywhere.
+  std::function<void()> on_not_sent = [] {};
 };
 
 // Records the end of a request in the log and the metrics, and answers the
--- a/src/net/forward/forwarder.h
+++ b/src/net/forward/forwarder.h
@@ -16,6 +16,7 @@
 #include "src/policy/weighted_choice.h"
 #include "src/tables/lifecycle.h"
 #include "src/tables/list_table.h"
+#include "src/tables/quota_table.h"
 
 namespace marigold {
 
@@ -33,6 +34,7 @@
   const ListTable& lists;
   BackendTable& backends;
   AggregatorTable& aggregators;
+  QuotaTable& quotas;
   ForwardMetrics& metrics;
   // Returns false while it is not certain which routes are in force.
   std::function<bool()> are_routes_known;
@@ -160,6 +162,7 @@
   static constexpr Duration kBusyRetryAfter = std::chrono::milliseconds(200);
 
   static constexpr int kStatusNotFound = 404;
+  static constexpr int kStatusTooManyRequests = 429;
   static constexpr Duration kDrainCheckInterval = std::chrono::milliseconds(20);
 
   void OnRequest(const SessionPtr& session, CallerRequest request) {
@@ -229,12 +232,23 @@
                     kBusyRetryAfter});
       return;
     }
+    if (!this->AdmitByQuota(session, request, plan, now)) {
+      return;
+    }
     CallerSide caller{
-        session, caller_metadata.request, version, false,
+        session,
+        caller_metadata.request,
+        version,
+        false,
         [weak = this->weak_from_this(), session_key = session.get()] {
           if (const auto self = weak.lock()) {
             self->calls.erase(session_key);
           }
+        },
+        [&quotas = this->context.quotas, customer = plan.customer] {
+          if (customer) {
+            quotas.GiveBack(*customer);
+          }
         }};
     EncodedRequest encoded{std::move(caller_metadata.request),
                            MessageCodec::MakeSendTemplate(request, {}),
@@ -253,6 +267,26 @@
     }
   }
 
+  // Refuses a request beyond its customer's quota. Returns true if the request
+  // is admitted. Must be the last check before the request is started.
+  bool AdmitByQuota(const SessionPtr& session,
+                    const CallerRequest& request,
+                    const ForwardPlan& plan,
+                    MonotonicTime now) {
+    if (!plan.customer) {
+      return true;
+    }
+    const QuotaDecision decision =
+        this->context.quotas.Admit(now, *plan.customer);
+    if (!decision.is_admitted()) {
+      this->Refuse(
+          session, request, "over_quota",
+          {kStatusTooManyRequests, "the quota of the customer is used up",
+           decision.retry_after});
+    }
+    return decision.is_admitted();
+  }
+
   // True if aggregators are expected to answer the request sooner than this
   // process alone.
   bool UsesGroups(const ForwardPlan& plan, const EncodedRequest& encoded) {
--- a/src/policy/quota/quota_gate.cc
+++ b/src/policy/quota/quota_gate.cc
@@ -273,10 +273,13 @@
     summary.limited_customers += customer.ratio < Fraction(1) ? 1 : 0;
     summary.lowest_ratio = std::min(summary.lowest_ratio, customer.ratio);
   }
-  if (this->newest_state) {
-    summary.state_age = now - this->state_at;
-  }
+  summary.state_age = this->StateAge(now);
   return summary;
 }
 
+std::optional<Duration> QuotaGate::StateAge(MonotonicTime now) const {
+  return this->newest_state ? std::optional(now - this->state_at)
+                            : std::nullopt;
+}
+
 }  // namespace marigold
--- a/src/policy/quota/quota_gate.h
+++ b/src/policy/quota/quota_gate.h
@@ -94,6 +94,9 @@
   // When the next report is due. Nothing while there is nothing to report.
   std::optional<MonotonicTime> NextReportAt() const;
   QuotaPhase PhaseAt(MonotonicTime now) const;
+  std::size_t customer_count() const { return this->customers.size(); }
+  // How old the newest state is. Absent before the first one.
+  std::optional<Duration> StateAge(MonotonicTime now) const;
   QuotaGateSummary Summary(MonotonicTime now) const;
 
  private:
--- a/src/programs/control_process.cc
+++ b/src/programs/control_process.cc
@@ -24,11 +24,13 @@
 ControlProcess::ControlProcess(const ControlProcessSettings& process_settings)
     : settings(process_settings),
       table({}),
+      quotas(table),
       pool(process_settings.workers),
       hub(std::make_shared<SubscriberHub>(pool,
                                           table,
                                           listing,
-                                          kStreamHeartbeatInterval)) {}
+                                          kStreamHeartbeatInterval)),
+      quota_relay(std::make_shared<QuotaRelay>(pool, quotas)) {}
 
 Result<void> ControlProcess::Open(HttpHandler handler) {
   ReturnFreedMemory();
@@ -45,13 +47,16 @@
   BOOST_LEAF_ASSIGN(
       this->driver,
       ControlDriver::Open(this->pool, this->table, this->settings.driver,
-                          [hub = this->hub] { hub->NotifyListsChanged(); }));
+                          [hub = this->hub, relay = this->quota_relay] {
+                            hub->NotifyListsChanged();
+                            relay->OnListsChanged();
+                          }));
   this->sharing = this->MakeAggregatorSharing();
-  BOOST_LEAF_ASSIGN(
-      this->server,
-      ControlServer::Listen(this->pool, this->settings.driver.address,
-                            this->driver, this->hub, this->table, this->listing,
-                            this->MakeHintRelay(), this->sharing));
+  BOOST_LEAF_ASSIGN(this->server, ControlServer::Listen(
+                                      this->pool, this->settings.driver.address,
+                                      this->driver, this->hub, this->table,
+                                      this->listing, this->MakeHintRelay(),
+                                      this->sharing, this->quota_relay));
   BOOST_LEAF_ASSIGN(
       this->http,
       HttpServer::Listen(this->pool, this->settings.http,
@@ -80,10 +85,26 @@
       });
 }
 
+QuotaSenders ControlProcess::MakeQuotaSenders() {
+  const std::weak_ptr<ControlDriver> weak(this->driver);
+  return {[hub = this->hub](const QuotaState& state) { hub->SendToAll(state); },
+          [weak](const QuotaState& state) {
+            if (const auto control = weak.lock()) {
+              control->Broadcast(state);
+            }
+          },
+          [weak](const QuotaUsageReports& reports) {
+            if (const auto control = weak.lock()) {
+              control->SendToLeader(reports);
+            }
+          }};
+}
+
 void ControlProcess::Serve(std::function<void()> reload_handler) {
   this->hub->Start();
   this->driver->Start();
   this->sharing->Start();
+  this->quota_relay->Start(this->MakeQuotaSenders());
   TimerHandle drain_timer;
   const auto stop = [&](int number) {
     LogEvent(LogLevel::kInfo, "stopping", {{"signal", number}});
@@ -103,7 +124,8 @@
 }
 
 HttpResponse ControlProcess::AnswerHttp(const HttpRequest& request) const {
-  return AnswerControlHttp(request, *this->driver, *this->hub, this->table);
+  return AnswerControlHttp(request, *this->driver, *this->hub, this->table,
+                           this->quotas);
 }
 
 }  // namespace marigold
--- a/src/programs/control_process.h
+++ b/src/programs/control_process.h
@@ -10,11 +10,13 @@
 #include "src/net/control/control_driver.h"
 #include "src/net/control/control_server.h"
 #include "src/net/control/hint_relay.h"
+#include "src/net/control/quota_relay.h"
 #include "src/net/control/subscriber_hub.h"
 #include "src/net/http/http_server.h"
 #include "src/net/worker_pool.h"
 #include "src/tables/control_table.h"
 #include "src/tables/listing_table.h"
+#include "src/tables/quota_coordination_table.h"
 
 namespace marigold {
 
@@ -53,14 +55,17 @@
  private:
   std::shared_ptr<HintRelay> MakeHintRelay();
   std::shared_ptr<AggregatorSharing> MakeAggregatorSharing();
+  QuotaSenders MakeQuotaSenders();
 
   ControlProcessSettings settings;
   // Declared before the pool, because its threads may use the tables until it
   // is destroyed.
   ControlTable table;
   ListingTable listing;
+  QuotaCoordinationTable quotas;
   WorkerPool pool;
   std::shared_ptr<SubscriberHub> hub;
+  std::shared_ptr<QuotaRelay> quota_relay;
   std::shared_ptr<ControlDriver> driver;
   std::shared_ptr<AggregatorSharing> sharing;
   std::unique_ptr<ControlServer> server;
--- a/src/programs/forward_admin.cc
+++ b/src/programs/forward_admin.cc
@@ -35,7 +35,9 @@
   } else if (request.path == "/metrics") {
     this->sources.metrics.SetListsConfirmedAge(
         this->sources.lists_confirmed_age());
-    response.body = this->sources.metrics.Render();
+    response.body =
+        this->sources.metrics.Render() +
+        QuotaMetricsText(this->sources.quotas.Summary(this->clock.Now()));
   } else if (request.path == "/state") {
     response.content_type = "application/json";
     response.body = this->StateJson();
@@ -70,17 +72,29 @@
   return has_unservable_route;
 }
 
+std::string ForwardAdmin::QuotasJson() const {
+  const QuotaGateSummary gate =
+      this->sources.quotas.Summary(this->clock.Now()).gate;
+  return fmt::format(
+      R"({{"phase":"{}","customers":{},"limited":{},"lowest_ratio":{:.3f},)"
+      R"("state_age_ms":{:.0f}}})",
+      ToString(gate.phase), gate.customers, gate.limited_customers,
+      gate.lowest_ratio.value(),
+      gate.state_age ? ToMilliseconds(*gate.state_age) : -1.0);
+}
+
 std::string ForwardAdmin::StateJson() const {
   const auto routes = this->sources.lists.Routes();
   return fmt::format(R"({{"routes_version":{},"lists_confirmed_age_ms":{:.0f},)"
                      R"("listed_servers":{},"listing_age_ms":{:.0f},)"
-                     R"("connections":{},"leaving":{}}})",
+                     R"("connections":{},"leaving":{},"quotas":{}}})",
                      routes ? routes->table().version.value() : 0,
                      ToMilliseconds(this->sources.lists_confirmed_age()),
                      this->sources.listing.Servers()->size(),
                      ListingAgeMs(this->sources.listing, this->clock.Now()),
                      this->sources.open_connections(),
-                     this->sources.lifecycle.phase() != ProcessPhase::kServing);
+                     this->sources.lifecycle.phase() != ProcessPhase::kServing,
+                     this->QuotasJson());
 }
 
 }  // namespace marigold
--- a/src/programs/forward_admin.h
+++ b/src/programs/forward_admin.h
@@ -14,6 +14,7 @@
 #include "src/tables/lifecycle.h"
 #include "src/tables/list_table.h"
 #include "src/tables/listing_table.h"
+#include "src/tables/quota_table.h"
 
 namespace marigold {
 
@@ -26,6 +27,7 @@
   const ListTable& lists;
   const ListingTable& listing;
   BackendTable& backends;
+  const QuotaTable& quotas;
   ForwardMetrics& metrics;
   const Lifecycle& lifecycle;
   // Returns false while it is not certain which routes are in force.
@@ -50,6 +52,7 @@
   // that callers are sent to another data centre. Logs each change.
   bool SomeRouteIsUnservable();
   std::string StateJson() const;
+  std::string QuotasJson() const;
 
   ForwardAdminSources sources;
   SystemClock clock;
--- a/src/programs/forward_process.h
+++ b/src/programs/forward_process.h
@@ -40,6 +40,7 @@
         aggregators(VmId(process_settings.vm),
                     DataCentreId(process_settings.data_centre),
                     ToFanOutSettings(process_settings)),
+        quotas(VmId(process_settings.vm), lists),
         pool(process_settings.workers),
         control(pool, lists, listing, ToControlSettings(process_settings)),
         seeds_file(pool,
@@ -50,7 +51,7 @@
                      }
                      this->control.SetControls(std::move(seeds));
                    }),
-        answers({settings, lists, listing, backends, metrics, lifecycle,
+        answers({settings, lists, listing, backends, quotas, metrics, lifecycle,
                  [this] { return this->knows_routes(); },
                  [this] { return this->caller_listener->open_connections(); },
                  [this] { return this->control.lists_confirmed_age(); }}) {}
@@ -102,13 +103,11 @@
   Result<void> Open() {
     this->started_at = this->clock.Now();
     this->listing.OnChanged([this] { this->ApplyListing(); });
-    const ForwardContext shared{this->lists,
-                                this->backends,
-                                this->aggregators,
-                                this->metrics,
-                                [this] { return this->knows_routes(); },
-                                this->lifecycle,
-                                ToStrandLimits(this->settings)};
+    const ForwardContext shared{
+        this->lists,       this->backends,
+        this->aggregators, this->quotas,
+        this->metrics,     [this] { return this->knows_routes(); },
+        this->lifecycle,   ToStrandLimits(this->settings)};
     std::vector<std::shared_ptr<Strand>> strands;
     for (std::int64_t i = 0; i < this->settings.workers; ++i) {
       strands.push_back(std::make_shared<Strand>(this->pool));
@@ -135,6 +134,7 @@
         directory.ApplyHints(now, received.hints);
       });
     });
+    this->ConnectQuotas();
     BOOST_LEAF_CHECK(this->ListenForQueries(strands));
     BOOST_LEAF_CHECK(this->control.Start());
     this->seeds_file.Read();
@@ -143,6 +143,21 @@
     return {};
   }
 
+  // Exchanges quota states and usage reports with the control VMs.
+  void ConnectQuotas() {
+    this->control.SetQuotaStateHandler([this](const QuotaState& state) {
+      this->quotas.Apply(this->clock.Now(), state);
+    });
+    this->quotas.SetReportHandler([this](MonotonicTime at) {
+      this->pool.PostAfter(
+          std::max(at - this->clock.Now(), Duration::zero()), [this] {
+            if (auto report = this->quotas.TakeReport(this->clock.Now())) {
+              this->control.SendQuotaReport(std::move(*report));
+            }
+          });
+    });
+  }
+
   // Begins to answer the queries of other entry VMs, and to learn which of them
   // answer queries of this one.
   Result<void> ListenForQueries(
@@ -233,6 +248,8 @@
       new_hints.hints = directory.TakeHints(now);
       return directory.TakeProbeTargets(now);
     });
+    this->quotas.SetLimitShare(share);
+    this->quotas.LogMissingState(now);
     if (!new_hints.hints.empty()) {
       this->control.SendHints(std::move(new_hints));
     }
@@ -302,6 +319,7 @@
   ListingTable listing;
   BackendTable backends;
   AggregatorTable aggregators;
+  QuotaTable quotas;
   ForwardMetrics metrics;
   Lifecycle lifecycle;
   std::atomic<std::size_t> undrained_strands = 0;
--- a/src/wire/control_json.cc
+++ b/src/wire/control_json.cc
@@ -70,6 +70,20 @@
   };
 }
 
+json::array ToJson(const std::vector<QuotaCustomerStatus>& limited) {
+  json::array customers;
+  for (const QuotaCustomerStatus& customer : limited) {
+    customers.push_back({{"customer", customer.customer.value()},
+                         {"rate", customer.limit.rate.value()},
+                         {"burst", customer.limit.burst},
+                         {"ratio", customer.ratio.value()},
+                         {"level", customer.level},
+                         {"offered", customer.offered.value()},
+                         {"reserved", customer.reserved.value()}});
+  }
+  return customers;
+}
+
 json::object ToJson(const ChangeRecord& record) {
   json::object object = ToJson(record.outcome);
   object["index"] = record.index.value();
--- a/src/wire/control_json.h
+++ b/src/wire/control_json.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "src/commands/control_commands.h"
+#include "src/policy/quota/quota_coordinator.h"
 #include "src/tables/control_state.h"
 #include "src/tables/control_status.h"
 #include "src/tables/list_edits.h"
@@ -20,6 +21,7 @@
 
 boost::json::object ToJson(const Member& member);
 boost::json::object ToJson(const ControlStatus& status);
+boost::json::array ToJson(const std::vector<QuotaCustomerStatus>& limited);
 boost::json::object ToJson(const ChangeRecord& record);
 boost::json::object ToJson(const PlanRow& row);
 boost::json::object ToJson(const UsageRow& row);
--- a/src/wire/control_messages.h
+++ b/src/wire/control_messages.h
@@ -14,6 +14,7 @@
 #include "src/core/verdict.h"
 #include "src/policy/fan_out/aggregator_registry.h"
 #include "src/policy/listing.h"
+#include "src/policy/quota/quota_types.h"
 #include "src/policy/server_hint.h"
 #include "src/replication/messages.h"
 #include "src/tables/control_state.h"
@@ -340,7 +341,10 @@
                                     ServerHints,
                                     AnnounceAggregator,
                                     AggregatorSet,
-                                    AggregatorUpdate>;
+                                    AggregatorUpdate,
+                                    QuotaUsageReport,
+                                    QuotaUsageReports,
+                                    QuotaState>;
 
 std::string EncodeControlMessage(const ControlMessage& message);
 
--- a/tests/control_driver_test.cc
+++ b/tests/control_driver_test.cc
@@ -70,7 +70,8 @@
           std::make_shared<HintRelay>(
               pool, [](const ServerHints&) {}, [](const ServerHints&) {}),
           std::make_shared<AggregatorSharing>(pool, settings.address,
-                                              [](const AggregatorSet&) {}));
+                                              [](const AggregatorSet&) {}),
+          std::make_shared<QuotaRelay>(pool, quotas));
     });
     this->server =
         std::move(std::get<std::unique_ptr<ControlServer>>(listening));
@@ -93,6 +94,7 @@
   WorkerPool& pool;
   ControlTable table;
   ListingTable listing;
+  QuotaCoordinationTable quotas{table};
   std::shared_ptr<ControlDriver> driver;
   std::shared_ptr<SubscriberHub> hub;
   std::unique_ptr<ControlServer> server;
