--- a/src/net/forward/forwarder.h
+++ b/src/net/forward/forwarder.h
@@ -11,6 +11,7 @@
 #include "src/net/fan_out/group_query_server.h"
 #include "src/net/fan_out/grouped_call.h"
 #include "src/net/forward/forwarded_call.h"
+#include "src/net/forward/quota_check.h"
 #include "src/policy/forward_timing.h"
 #include "src/policy/startup_retry.h"
 #include "src/policy/weighted_choice.h"
@@ -162,7 +163,6 @@
   static constexpr Duration kBusyRetryAfter = std::chrono::milliseconds(200);
 
   static constexpr int kStatusNotFound = 404;
-  static constexpr int kStatusTooManyRequests = 429;
   static constexpr Duration kDrainCheckInterval = std::chrono::milliseconds(20);
 
   void OnRequest(const SessionPtr& session, CallerRequest request) {
@@ -232,7 +232,8 @@
                     kBusyRetryAfter});
       return;
     }
-    if (!this->AdmitByQuota(session, request, plan, now)) {
+    if (const auto refusal = CheckQuota(this->context.quotas, plan, now)) {
+      this->Refuse(session, request, "over_quota", *refusal);
       return;
     }
     CallerSide caller{
@@ -245,11 +246,7 @@
             self->calls.erase(session_key);
           }
         },
-        [&quotas = this->context.quotas, customer = plan.customer] {
-          if (customer) {
-            quotas.GiveBack(*customer);
-          }
-        }};
+        QuotaRefund(this->context.quotas, plan)};
     EncodedRequest encoded{std::move(caller_metadata.request),
                            MessageCodec::MakeSendTemplate(request, {}),
                            request.method() == boost::beast::http::verb::head};
@@ -267,26 +264,6 @@
     }
   }
 
-  // Refuses a request beyond its customer's quota. Returns true if the request
-  // is admitted. Must be the last check before the request is started.
-  bool AdmitByQuota(const SessionPtr& session,
-                    const CallerRequest& request,
-                    const ForwardPlan& plan,
-                    MonotonicTime now) {
-    if (!plan.customer) {
-      return true;
-    }
-    const QuotaDecision decision =
-        this->context.quotas.Admit(now, *plan.customer);
-    if (!decision.is_admitted()) {
-      this->Refuse(
-          session, request, "over_quota",
-          {kStatusTooManyRequests, "the quota of the customer is used up",
-           decision.retry_after});
-    }
-    return decision.is_admitted();
-  }
-
   // True if aggregators are expected to answer the request sooner than this
   // process alone.
   bool UsesGroups(const ForwardPlan& plan, const EncodedRequest& encoded) {
