--- a/cmake/programs.cmake
+++ b/cmake/programs.cmake
@@ -9,6 +9,7 @@
 target_sources(marigold-control PRIVATE src/programs/control_process.cc)
 marigold_program(src/programs/marigoldctl.cc marigold_ctl)
 marigold_program(tools/programs/marigold_control_load.cc marigold_net)
+marigold_program(tools/programs/marigold_quota_cost.cc marigold_wire)
 # The programs for the users' platform, with its formats.
 add_library(marigold_platform STATIC platform/config_codec.cc platform/http_dialect.cc
             platform/list_codec.cc platform/operator_api.cc)
--- a/src/policy/quota/quota_gate.cc
+++ b/src/policy/quota/quota_gate.cc
@@ -9,9 +9,9 @@
 
 constexpr Duration kMinReportInterval = std::chrono::milliseconds(100);
 
-// Limits a VM that serves hundreds of customers to 50 reported customers per
-// second, which is about 2 KB/s.
-constexpr Duration kIntervalPerUsage = std::chrono::milliseconds(20);
+// Limits a VM that serves hundreds of customers to 17 reported customers per
+// second, which is about 0.75 KB/s.
+constexpr Duration kIntervalPerUsage = std::chrono::milliseconds(60);
 constexpr std::size_t kMaxUsagesPerReport = 32;
 
 // While there are no requests, empty reports show that the VM is in contact,
--- a/src/tables/quota_table.cc
+++ b/src/tables/quota_table.cc
@@ -58,11 +58,11 @@
     return;
   }
   this->routes_in_force = std::move(routes);
-  static const std::vector<RoutedCustomer> kNoCustomers;
-  const auto& customers = this->routes_in_force
-                              ? this->routes_in_force->table().customers
-                              : std::nullopt;
-  this->gate.SetCustomers(now, customers ? *customers : kNoCustomers);
+  if (this->routes_in_force && this->routes_in_force->table().customers) {
+    this->gate.SetCustomers(now, *this->routes_in_force->table().customers);
+  } else {
+    this->gate.SetCustomers(now, {});
+  }
   this->has_quotas = this->gate.customer_count() > 0;
 }
 
--- a/tests/quota_table_test.cc
+++ b/tests/quota_table_test.cc
@@ -184,7 +184,7 @@
 }
 
 // Guards against reports of an entry VM with many customers that take more than
-// 2 KB/s.
+// 1 KB/s.
 Test(QuotaTable, LimitsTheSizeOfReports) {
   std::vector<RoutedCustomer> customers;
   for (int i = 0; i < 1'000; ++i) {
@@ -200,7 +200,7 @@
       reported += report->usages.size();
     }
   }
-  cr_expect(reported <= 20 * 50 + 32, "%zu customers reported", reported);
+  cr_expect(reported <= 20 * 17 + 32, "%zu customers reported", reported);
 }
 
 // Guards against a refusal that a caller takes for another fault, and against a
