--- a/src/net/forward/forwarder.h
+++ b/src/net/forward/forwarder.h
@@ -12,11 +12,13 @@
 #include "src/net/fan_out/group_query_server.h"
 #include "src/net/fan_out/grouped_call.h"
 #include "src/net/forward/forwarded_call.h"
+#include "src/net/forward/quota_check.h"
 #include "src/policy/forward_timing.h"
 #include "src/policy/startup_retry.h"
 #include "src/policy/weighted_choice.h"
 #include "src/tables/lifecycle.h"
 #include "src/tables/list_table.h"
+#include "src/tables/quota_table.h"
 
 namespace marigold {
 
@@ -34,6 +36,7 @@
   const ListTable& lists;
   BackendTable& backends;
   AggregatorTable& aggregators;
+  QuotaTable& quotas;
   ForwardMetrics& metrics;
   // Returns false while it is not certain which routes are in force.
   std::function<bool()> are_routes_known;
@@ -244,13 +247,21 @@
                     kBusyRetryAfter});
       return;
     }
+    if (const auto refusal = CheckQuota(this->context.quotas, plan, now)) {
+      this->Refuse(session, request, "over_quota", *refusal);
+      return;
+    }
     CallerSide caller{
-        session, caller_metadata.request, version, false,
+        session,
+        caller_metadata.request,
+        version,
+        false,
         [weak = this->weak_from_this(), session_key = session.get()] {
           if (const auto self = weak.lock()) {
             self->calls.erase(session_key);
           }
-        }};
+        },
+        QuotaRefund(this->context.quotas, plan)};
     EncodedRequest encoded{
         std::move(caller_metadata.request),
         MessageCodec::MakeSendTemplate(
