--- a/src/commands/check_command.cc
+++ b/src/commands/check_command.cc
@@ -69,6 +69,10 @@
                 fmt::format("{}", fmt::join(errors, "; ")));
 }
 
+std::optional<Refusal> Check(const SetEvacuation& order) {
+  return CheckId("data centre", order.data_centre.value());
+}
+
 }  // namespace
 
 std::optional<Refusal> CheckCommand(const ControlCommand& command) {
--- a/src/commands/control_commands.h
+++ b/src/commands/control_commands.h
@@ -135,8 +135,25 @@
   }
 };
 
-using ControlCommand =
-    std::variant<PutRows, ClaimAction, ReleaseClaim, RecordOutcome, PutRoutes>;
+// Begins or ends the evacuation of a data centre, whose backend servers get no
+// requests meanwhile. Changes nothing if the data centre is in that state.
+struct SetEvacuation {
+  DataCentreId data_centre;
+  bool is_evacuated = false;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->data_centre, this->is_evacuated);
+  }
+};
+
+// A command is identified by its position, so new ones are added at the end.
+using ControlCommand = std::variant<PutRows,
+                                    ClaimAction,
+                                    ReleaseClaim,
+                                    RecordOutcome,
+                                    PutRoutes,
+                                    SetEvacuation>;
 
 // The answer to an edit. A resend with the same change id gets the first answer
 // again.
@@ -224,11 +241,24 @@
   }
 };
 
+// The answer to `SetEvacuation`.
+struct SetEvacuationOutcome {
+  // False if the data centre was in the wanted state before. Nothing has
+  // changed then.
+  bool changed = false;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->changed);
+  }
+};
+
 using ControlOutcome = std::variant<PutRowsOutcome,
                                     ClaimOutcome,
                                     ReleaseOutcome,
                                     RecordOutcomeResponse,
-                                    PutRoutesOutcome>;
+                                    PutRoutesOutcome,
+                                    SetEvacuationOutcome>;
 
 template <>
 inline constexpr std::uint64_t kEnumValues<ListKind> = 2;
--- a/src/ctl/group_queries.cc
+++ b/src/ctl/group_queries.cc
@@ -112,6 +112,24 @@
   table.Print();
 }
 
+// Prints the evacuated data centres according to the leader, or to a control VM
+// with the newest lists if none leads.
+void PrintEvacuated(const std::vector<ControlVmReport>& reports,
+                    const ControlStatus* leader) {
+  const ControlStatus* newest = leader;
+  for (const ControlVmReport& report : reports) {
+    const bool is_newer =
+        leader == nullptr && report.status &&
+        (newest == nullptr || report.status->lists_index > newest->lists_index);
+    newest = is_newer ? &*report.status : newest;
+  }
+  if (newest != nullptr) {
+    fmt::print(
+        "\nevacuated data centres: {}\n",
+        newest->evacuated.empty() ? "none" : ToString(newest->evacuated));
+  }
+}
+
 void PrintEntryVms(const std::vector<ControlVmReport>& reports) {
   LogIndex newest;
   for (const ControlVmReport& report : reports) {
@@ -192,6 +210,7 @@
     if (leader != nullptr) {
       PrintMembers(*leader);
     }
+    PrintEvacuated(reports, leader);
     PrintEntryVms(reports);
   }
   return leader != nullptr ? ExitCode::kDone : ExitCode::kUnreachable;
--- a/src/net/control/aggregator_sharing.cc
+++ b/src/net/control/aggregator_sharing.cc
@@ -198,6 +198,15 @@
   this->impl->OnChanged();
 }
 
+std::vector<DataCentreId> AggregatorSharing::DataCentres() const {
+  const RankedLock lock(this->impl->mutex);
+  std::vector<DataCentreId> data_centres;
+  for (const Aggregator& aggregator : this->impl->registry.All()) {
+    data_centres.push_back(aggregator.data_centre);
+  }
+  return data_centres;
+}
+
 void AggregatorSharing::OnPeerSet(const AggregatorSet& received) {
   {
     const RankedLock lock(this->impl->mutex);
--- a/src/net/control/aggregator_sharing.h
+++ b/src/net/control/aggregator_sharing.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <vector>
 
 #include "src/net/control/framed_connection.h"
 #include "src/net/worker_pool.h"
@@ -37,6 +38,11 @@
   void OnClosed(const FramedConnection& connection);
   void OnPeerSet(const AggregatorSet& received);
 
+  // Queries.
+
+  // The data centres of all known entry VMs, with duplicates.
+  std::vector<DataCentreId> DataCentres() const;
+
   struct Impl;
 
  private:
--- a/src/net/control/control_driver_outputs.cc
+++ b/src/net/control/control_driver_outputs.cc
@@ -37,6 +37,24 @@
   }
 }
 
+// Logs a committed order on the evacuation of a data centre.
+void LogEvacuation(const LogEntry& entry,
+                   const ControlCommand& command,
+                   const EntryOutcome& entry_outcome) {
+  const auto* order = std::get_if<SetEvacuation>(&command);
+  const auto* outcome = std::get_if<ControlOutcome>(&entry_outcome);
+  const auto* evacuation =
+      outcome == nullptr ? nullptr : std::get_if<SetEvacuationOutcome>(outcome);
+  if (order != nullptr && evacuation != nullptr) {
+    LogEvent(LogLevel::kInfo, "evacuation_committed",
+             {{"data_centre", order->data_centre.value()},
+              {"evacuated", order->is_evacuated},
+              {"changed", evacuation->changed},
+              {"index", entry.index.value()},
+              {"term", entry.term.value()}});
+  }
+}
+
 }  // namespace
 
 void ControlDriver::Impl::SendMessages() {
@@ -99,6 +117,7 @@
                                 std::get<ControlCommand>(command));
     ++this->counters.commands_applied;
     LogNewRoutes(entry, outcome);
+    LogEvacuation(entry, std::get<ControlCommand>(command), outcome);
   }
   auto pending_entry = this->pending.Take(entry.index);
   if (!pending_entry) {
--- a/src/net/control/control_server.cc
+++ b/src/net/control/control_server.cc
@@ -130,6 +130,7 @@
         reply.index = update.to;
         reply.full_lists = std::move(update.full_lists);
         reply.routes = std::move(update.routes);
+        reply.evacuated = std::move(update.evacuated);
       }
       SendTo(weak, std::move(reply));
     });
--- a/src/net/control/list_sharing.cc
+++ b/src/net/control/list_sharing.cc
@@ -38,6 +38,7 @@
   if (request.known_index < reply.index) {
     reply.full_lists = std::move(full_update.full_lists);
     reply.routes = std::move(full_update.routes);
+    reply.evacuated = std::move(full_update.evacuated);
   }
   return reply;
 }
@@ -164,9 +165,12 @@
       this->newest_holder = endpoint;
     }
     if (reply->full_lists) {
-      this->table.Apply(
-          this->clock.Now(),
-          {LogIndex(), reply->index, reply->full_lists, {}, reply->routes});
+      this->table.Apply(this->clock.Now(), {LogIndex(),
+                                            reply->index,
+                                            reply->full_lists,
+                                            {},
+                                            reply->routes,
+                                            reply->evacuated});
     }
     this->handlers.on_controls(reply->controls);
   }
--- a/src/net/forward/forwarder.h
+++ b/src/net/forward/forwarder.h
@@ -124,23 +124,24 @@
   // Opens a connection to check whether the server's data centre is reachable
   // again.
   void Probe(ServerIndex server) {
-    const Endpoint endpoint =
-        this->call_context.backends.Access([&](BackendDirectory& directory) {
-          return directory.ListedServerAt(server).endpoint;
-        });
-    this->links->Open(
-        server, endpoint,
-        [strand = this->call_context.strand,
-         &backends = this->call_context.backends, server,
-         began_at = this->call_context.strand->Now()](bool opened) {
-          const MonotonicTime now = strand->Now();
-          backends.Access([&](BackendDirectory& directory) {
-            directory.OnUncountedOutcome(now, server, now - began_at,
-                                         Duration::zero(), opened);
-          });
+    this->OpenProbe(
+        server,
+        [server, began_at = this->call_context.strand->Now()](
+            BackendDirectory& directory, MonotonicTime now, bool opened) {
+          directory.OnUncountedOutcome(now, server, now - began_at,
+                                       Duration::zero(), opened);
         });
   }
 
+  // Opens a connection to check whether a server that was unreachable has
+  // returned.
+  void ProbeReturn(ServerIndex server) {
+    this->OpenProbe(server, [server](BackendDirectory& directory,
+                                     MonotonicTime now, bool opened) {
+      directory.OnReturnProbe(now, server, opened);
+    });
+  }
+
  private:
   using SessionPtr = std::shared_ptr<CallerSession>;
 
@@ -162,6 +163,23 @@
   static constexpr int kStatusNotFound = 404;
   static constexpr Duration kDrainCheckInterval = std::chrono::milliseconds(20);
 
+  template <class Record>
+  void OpenProbe(ServerIndex server, Record record) {
+    const Endpoint endpoint =
+        this->call_context.backends.Access([&](BackendDirectory& directory) {
+          return directory.ListedServerAt(server).endpoint;
+        });
+    this->links->Open(server, endpoint,
+                      [strand = this->call_context.strand,
+                       &backends = this->call_context.backends,
+                       record = std::move(record)](bool opened) {
+                        const MonotonicTime now = strand->Now();
+                        backends.Access([&](BackendDirectory& directory) {
+                          record(directory, now, opened);
+                        });
+                      });
+  }
+
   void OnRequest(const SessionPtr& session, CallerRequest request) {
     const std::shared_ptr<const RouteIndex> routes =
         this->context.are_routes_known() ? this->context.lists.Routes()
--- a/src/policy/backend_directory.cc
+++ b/src/policy/backend_directory.cc
@@ -94,13 +94,14 @@
   server.unanswered_since = now;
   this->RecordDataCentreAnswer(now, server.listed.data_centre);
   server.observations.OnAnswer();
+  server.cold.OnReply(now);
 }
 
 void BackendDirectory::RecordDataCentreAnswer(MonotonicTime now,
                                               const DataCentreId& id) {
   DataCentre& data_centre = this->data_centres[id];
   if (this->IsCutOff(now, id)) {
-    this->ClearDataCentreFailures(id);
+    this->OnDataCentreReturned(now, id);
   }
   data_centre.last_answer_at = now;
   data_centre.unanswered_attempts = 0;
@@ -117,11 +118,12 @@
   ++this->data_centres[data_centre].peer_failures;
 }
 
-void BackendDirectory::ClearDataCentreFailures(
-    const DataCentreId& data_centre) {
+void BackendDirectory::OnDataCentreReturned(MonotonicTime now,
+                                            const DataCentreId& data_centre) {
   for (Server& server : this->servers) {
     if (server.listed.data_centre == data_centre) {
       server.observations.ClearFailures();
+      server.cold.OnReturn(now);
     }
   }
 }
@@ -139,6 +141,9 @@
   } else {
     this->CountUnanswered(server);
     server.observations.OnUnanswered(now);
+    if (server.observations.IsBlocked(now)) {
+      server.cold.OnUnreachable(now);
+    }
   }
 }
 
@@ -154,11 +159,13 @@
       return;
     case SendFailure::kOtherServer:
       server.observations.BlockFor(now, kOtherServerBlockTime);
+      server.cold.OnUnreachable(now);
       return;
     case SendFailure::kUnreachable:
     case SendFailure::kNotConnected:
       this->CountUnanswered(server);
       server.observations.Block(now);
+      server.cold.OnUnreachable(now);
       return;
     case SendFailure::kTimeout:
       this->CountUnanswered(server);
@@ -199,7 +206,7 @@
   for (std::size_t i = 0; i < this->servers.size() && !wanted.empty(); ++i) {
     const Server& server = this->servers[i];
     const auto found = wanted.find(server.listed.data_centre);
-    if (server.is_usable && found != wanted.end()) {
+    if (server.is_usable && !server.is_evacuated && found != wanted.end()) {
       probes.push_back(ServerIndex(i + 1));
       if (--found->second == 0) {
         wanted.erase(found);
@@ -222,9 +229,15 @@
                                          Duration typical_latency,
                                          std::span<const ServerIndex> tried) {
   this->candidates.clear();
+  // A held-back server is used only if there is no other one, even if the
+  // others have been tried.
+  const bool uses_cold =
+      service.is_limited() && !this->HasWarmServer(now, service);
   for (const ServerIndex index : service.members) {
     const Server& server = this->ServerAt(index);
-    if (this->IsAvailable(now, server) &&
+    const bool is_offered = uses_cold ? this->MayUseCold(now, service, server)
+                                      : this->IsWarm(now, service, server);
+    if (is_offered &&
         std::find(tried.begin(), tried.end(), index) == tried.end()) {
       this->candidates.push_back(
           this->MakeView(now, index, server, typical_latency));
@@ -232,8 +245,14 @@
   }
 }
 
-void BackendDirectory::CountAttempt(MonotonicTime now, ServerIndex index) {
+void BackendDirectory::CountAttempt(MonotonicTime now,
+                                    const Service& service,
+                                    ServerIndex index) {
   Server& server = this->ServerAt(index);
+  if (this->HeldBackFor(now, service, server) != ColdReason::kNone) {
+    server.cold.TakeSend(now);
+    ++this->cold_sends;
+  }
   if (server.in_flight == 0) {
     server.unanswered_since = now;
   }
--- a/src/policy/backend_directory.h
+++ b/src/policy/backend_directory.h
@@ -11,10 +11,13 @@
 #include "src/core/ids.h"
 #include "src/core/random.h"
 #include "src/core/units.h"
+#include "src/policy/cold_limiter.h"
+#include "src/policy/evacuation.h"
 #include "src/policy/latency_digest.h"
 #include "src/policy/listing.h"
 #include "src/policy/replica_choice.h"
 #include "src/policy/retry_budget.h"
+#include "src/policy/routes.h"
 #include "src/policy/search_types.h"
 #include "src/policy/server_hint.h"
 #include "src/policy/server_notice.h"
@@ -78,6 +81,26 @@
   RetryBudgetSettings retry_budget;
   // The seed of the random parts of pauses.
   std::uint64_t seed = 1;
+  // This entry VM.
+  VmId vm{};
+};
+
+// A server that began or ceased to be held back as possibly cold.
+struct ColdChange {
+  ServerIndex server;
+  RatePerSecond cold_rate;
+  // `kNone` if it is not held back any more.
+  ColdReason reason = ColdReason::kNone;
+};
+
+// The servers that are held back as possibly cold.
+struct ColdReport {
+  // At most `BackendDirectory::kMaxColdChanges` since the last report. The rest
+  // is in the next one.
+  std::vector<ColdChange> changes;
+  std::size_t held_back = 0;
+  // The sends to such servers since the last report.
+  std::uint64_t sends = 0;
 };
 
 // Tracks the backend servers of the platform's list. These servers report
@@ -86,18 +109,54 @@
 class BackendDirectory {
  public:
   explicit BackendDirectory(DirectorySettings directory_settings)
-      : settings(std::move(directory_settings)), jitter(settings.seed) {}
+      : settings(std::move(directory_settings)),
+        jitter(settings.seed),
+        cold_senders(settings.vm) {}
 
   BackendDirectory(const BackendDirectory&) = delete;
   BackendDirectory& operator=(const BackendDirectory&) = delete;
 
   // Commands.
 
-  // Replaces the list with `listed`, which is complete. Servers that drain or
-  // are no longer listed get no new requests. Returns the servers that could
-  // get requests before this call and cannot any more.
-  std::vector<ServerIndex> ApplyListing(MonotonicTime now,
-                                        std::span<const ListedServer> listed);
+  // Replaces the list with `listed`, which is complete and was read at
+  // `observed_at`, or now if that is absent. Servers that drain or are no
+  // longer listed get no new requests. Returns the servers that could get
+  // requests before this call and cannot any more.
+  std::vector<ServerIndex> ApplyListing(
+      MonotonicTime now,
+      std::span<const ListedServer> listed,
+      std::optional<MonotonicTime> observed_at = std::nullopt);
+
+  // The rows of the last `ApplyListing` were still current at `observed_at`.
+  void ConfirmListing(MonotonicTime observed_at);
+
+  // Replaces the limits for cold servers. Services that are not named, or have
+  // the rate 0, have no limit.
+  void SetColdRates(std::span<const RoutedService> limited_services);
+
+  // Applies a change of the set of entry VMs, which share the requests to cold
+  // servers. See `ColdSenders::Apply`.
+  void SetEntryVms(MonotonicTime now,
+                   bool is_full,
+                   std::span<const VmId> added,
+                   std::span<const VmId> removed) {
+    this->cold_senders.Apply(now, is_full, added, removed);
+  }
+
+  // Returns the servers of limited services that were unreachable, and to which
+  // a connection shows whether they have returned. Only few entry VMs send
+  // requests to such a server.
+  std::vector<ServerIndex> TakeReturnProbes(MonotonicTime now);
+  // Records whether such a connection was opened.
+  void OnReturnProbe(MonotonicTime now, ServerIndex server, bool was_opened);
+
+  ColdReport TakeColdReport(MonotonicTime now);
+
+  // Replaces the set of evacuated data centres, whose servers get no new
+  // requests. Returns the servers that could get requests before this call and
+  // cannot any more.
+  std::vector<ServerIndex> SetEvacuated(MonotonicTime now,
+                                        EvacuatedDataCentres data_centres);
 
   // Sets this entry VM's fraction of the minimum retry budget that all entry
   // VMs share.
@@ -187,7 +246,8 @@
   // servers. Returns nothing while there are too few answers.
   std::optional<Duration> LatencyQuantile(const RouteName& route,
                                           Fraction quantile) const;
-  // True if at least one server of the service can get an attempt now.
+  // True if at least one server of the service can get an attempt now. A server
+  // that is held back as possibly cold counts if this entry VM may send to it.
   bool HasAvailableServer(MonotonicTime now, const ServiceId& service) const;
   // The time at which the first pause of the service's usable servers ends, or
   // `now` if one of them is not paused. Returns nothing if no server is usable.
@@ -196,8 +256,13 @@
   // As `HasAvailableServer`, but counts only servers in data centres that are
   // not cut off.
   bool HasAnsweringServer(MonotonicTime now, const ServiceId& service) const;
+  // True if the service has usable servers, and all of them are in evacuated
+  // data centres.
+  bool IsWhollyEvacuated(const ServiceId& service) const;
   // Returns for each data centre which of the services have servers there. A
-  // data centre that is cut off has none that is available.
+  // data centre that is cut off has none that is available. Evacuated data
+  // centres are left out, and servers that are held back as possibly cold are
+  // not available, because an aggregator may not be allowed to use them.
   std::vector<DataCentreServices> ServicesByDataCentre(
       MonotonicTime now,
       std::span<const ServiceId> requested_services) const;
@@ -211,6 +276,8 @@
   // another one.
   std::size_t size() const { return this->servers.size(); }
 
+  static constexpr std::size_t kMaxColdChanges = 16;
+
  private:
   struct Server {
     explicit Server(MonotonicTime now)
@@ -220,6 +287,8 @@
     bool is_listed = false;
     // True if the server is listed and does not drain.
     bool is_usable = false;
+    // True if the data centre of the server is evacuated.
+    bool is_evacuated = false;
     std::uint32_t in_flight = 0;
     ServerObservations observations;
     // The number of running and waiting requests that the server reported last.
@@ -235,11 +304,17 @@
     MonotonicTime paused_until = MonotonicTime::min();
     // Invalid pauses are reported again from this time on.
     MonotonicTime next_invalid_report_at = MonotonicTime::min();
+    ColdStatus cold;
   };
 
   struct Service {
     std::vector<ServerIndex> members;
     RetryBudget retry_budget;
+    // The requests per second that a cold server can handle; 0 if there is no
+    // limit.
+    RatePerSecond cold_rate;
+
+    bool is_limited() const { return this->cold_rate.value() > 0; }
   };
 
   // The observations that show whether a data centre is cut off.
@@ -282,20 +357,37 @@
   static constexpr Duration kMaxJitteredPause = std::chrono::seconds(8);
   // The size of the histograms in the latency digest of each route, in samples.
   static constexpr std::uint32_t kSamplesPerHistogram = 512;
+  // Connections to servers that may have returned, each time.
+  static constexpr std::size_t kMaxReturnProbes = 8;
 
   Server& ServerAt(ServerIndex server);
   const Server& ServerAt(ServerIndex server) const;
   bool IsCutOff(MonotonicTime now, const DataCentreId& data_centre) const;
-  // True if the server is usable and has not said too long ago that it is about
-  // to stop.
+  // True if the server is usable, its data centre is not evacuated, and it has
+  // not said too long ago that it is about to stop.
   static bool IsStaying(MonotonicTime now, const Server& server);
   // True if the server is usable, not blocked or paused, and its data centre
   // either is not cut off or is due for a probe.
   bool IsAvailable(MonotonicTime now, const Server& server) const;
+  // Why the server is held back as possibly cold; `kNone` if it is not.
+  ColdReason HeldBackFor(MonotonicTime now,
+                         const Service& service,
+                         const Server& server) const;
+  // True if the server is available and not held back.
+  bool IsWarm(MonotonicTime now,
+              const Service& service,
+              const Server& server) const;
+  // True if the server is available and this entry VM may send to it, although
+  // it is held back.
+  bool MayUseCold(MonotonicTime now,
+                  const Service& service,
+                  const Server& server) const;
+  bool HasWarmServer(MonotonicTime now, const Service& service) const;
   // Counts an unanswered attempt for the data centre of the server.
   void CountUnanswered(const Server& server);
-  // Clears the failures and blocks of all servers of a data centre.
-  void ClearDataCentreFailures(const DataCentreId& data_centre);
+  // The data centre is not cut off any more. Clears the failures and blocks of
+  // all its servers, which may be cold.
+  void OnDataCentreReturned(MonotonicTime now, const DataCentreId& data_centre);
   void RecordAnswer(MonotonicTime now, Server& server);
   void RecordDataCentreAnswer(MonotonicTime now, const DataCentreId& id);
   ServerIndex AddOrUpdateServer(MonotonicTime now, const ListedServer& listed);
@@ -307,13 +399,22 @@
                          const Service& service,
                          Duration typical_latency,
                          std::span<const ServerIndex> tried);
-  void CountAttempt(MonotonicTime now, ServerIndex server);
+  void CountAttempt(MonotonicTime now,
+                    const Service& service,
+                    ServerIndex server);
   void EndAttempt(Server& server);
   Duration PauseJitter(Duration pause);
 
   DirectorySettings settings;
   Fraction retry_budget_share{0};
+  EvacuatedDataCentres evacuated;
   SeededRandom jitter;
+  ColdSenders cold_senders;
+  // Sends to servers that were held back, since the last report.
+  std::uint64_t cold_sends = 0;
+  // True after the first listing. The servers of the first one may have been
+  // running for long.
+  bool has_listing = false;
   // `servers[i - 1]` is the server with index i.
   std::vector<Server> servers;
   std::unordered_map<ServerKey, ServerIndex, ServerKeyHash> index_by_key;
@@ -343,7 +444,7 @@
   const std::optional<ServerIndex> chosen =
       replica.Choose(this->candidates, random);
   if (chosen) {
-    this->CountAttempt(now, *chosen);
+    this->CountAttempt(now, found->second, *chosen);
   }
   return chosen;
 }
--- a/src/policy/backend_directory_queries.cc
+++ b/src/policy/backend_directory_queries.cc
@@ -40,7 +40,9 @@
   return found != this->services.end() &&
          std::any_of(found->second.members.begin(), found->second.members.end(),
                      [&](ServerIndex index) {
-                       return this->IsAvailable(now, this->ServerAt(index));
+                       const Server& server = this->ServerAt(index);
+                       return this->IsWarm(now, found->second, server) ||
+                              this->MayUseCold(now, found->second, server);
                      });
 }
 
@@ -74,6 +76,22 @@
                      });
 }
 
+bool BackendDirectory::IsWhollyEvacuated(const ServiceId& service) const {
+  const auto found = this->services.find(service);
+  if (found == this->services.end()) {
+    return false;
+  }
+  bool has_usable_server = false;
+  for (const ServerIndex index : found->second.members) {
+    const Server& server = this->ServerAt(index);
+    if (server.is_usable && !server.is_evacuated) {
+      return false;
+    }
+    has_usable_server = has_usable_server || server.is_usable;
+  }
+  return has_usable_server;
+}
+
 std::vector<DataCentreServices> BackendDirectory::ServicesByDataCentre(
     MonotonicTime now,
     std::span<const ServiceId> requested_services) const {
@@ -87,7 +105,7 @@
     }
     for (const ServerIndex index : found->second.members) {
       const Server& server = this->ServerAt(index);
-      if (!server.is_usable) {
+      if (!server.is_usable || server.is_evacuated) {
         continue;
       }
       auto item = std::find_if(result.begin(), result.end(), [&](auto& other) {
@@ -102,7 +120,7 @@
       auto& last =
           last_counted[static_cast<std::size_t>(item - result.begin())];
       item->listed_count += std::exchange(last, i) != i ? 1 : 0;
-      if (this->IsAvailable(now, server) &&
+      if (this->IsWarm(now, found->second, server) &&
           !this->IsCutOff(now, server.listed.data_centre)) {
         item->is_available[i] = true;
       }
@@ -142,8 +160,9 @@
 }
 
 bool BackendDirectory::IsStaying(MonotonicTime now, const Server& server) {
-  return server.is_usable && (!server.leaving_since ||
-                              now < *server.leaving_since + kLeavingUseTime);
+  return server.is_usable && !server.is_evacuated &&
+         (!server.leaving_since ||
+          now < *server.leaving_since + kLeavingUseTime);
 }
 
 bool BackendDirectory::IsAvailable(MonotonicTime now,
--- a/src/policy/backend_directory_updates.cc
+++ b/src/policy/backend_directory_updates.cc
@@ -16,15 +16,21 @@
 
 std::vector<ServerIndex> BackendDirectory::ApplyListing(
     MonotonicTime now,
-    std::span<const ListedServer> listed) {
+    std::span<const ListedServer> listed,
+    std::optional<MonotonicTime> observed_at) {
+  const bool has_earlier_listing = std::exchange(this->has_listing, true);
   std::vector<bool> is_listed(this->servers.size() + listed.size() + 1);
   std::vector<ServerIndex> newly_unusable;
   for (const ListedServer& row : listed) {
     const ServerIndex index = this->AddOrUpdateServer(now, row);
     is_listed[index.value()] = true;
     Server& server = this->ServerAt(index);
-    const bool may_have_restarted =
-        !std::exchange(server.is_listed, true) && row.started_at_ms == 0;
+    const bool was_listed = std::exchange(server.is_listed, true);
+    if (!was_listed && has_earlier_listing) {
+      server.cold.OnReturn(now);
+    }
+    server.cold.OnListed(observed_at.value_or(now), row.is_cold);
+    const bool may_have_restarted = !was_listed && row.started_at_ms == 0;
     if (may_have_restarted) {
       // What an earlier start said about itself no longer holds.
       server.leaving_since.reset();
@@ -64,9 +70,30 @@
     this->services[listed.service].members.push_back(position->second);
   }
   server.listed = listed;
+  server.is_evacuated = IsEvacuated(this->evacuated, listed.data_centre);
   return position->second;
 }
 
+std::vector<ServerIndex> BackendDirectory::SetEvacuated(
+    MonotonicTime now,
+    EvacuatedDataCentres data_centres) {
+  this->evacuated = std::move(data_centres);
+  std::vector<ServerIndex> newly_evacuated;
+  for (std::size_t i = 0; i < this->servers.size(); ++i) {
+    Server& server = this->servers[i];
+    const bool was_evacuated =
+        std::exchange(server.is_evacuated,
+                      IsEvacuated(this->evacuated, server.listed.data_centre));
+    if (server.is_evacuated && !was_evacuated && server.is_usable) {
+      newly_evacuated.push_back(ServerIndex(i + 1));
+    }
+    if (was_evacuated && !server.is_evacuated) {
+      server.cold.OnReturn(now);
+    }
+  }
+  return newly_evacuated;
+}
+
 std::vector<ServerHint> BackendDirectory::TakeHints(MonotonicTime now) {
   std::vector<ServerHint> hints;
   std::size_t usable_count = 0;
--- a/src/policy/fan_out/aggregator_directory.cc
+++ b/src/policy/fan_out/aggregator_directory.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "src/core/checksum.h"
+#include "src/policy/rendezvous_hash.h"
 
 namespace marigold {
 
@@ -27,13 +28,6 @@
 // How long a VM that was silent or whose connection failed is not asked.
 constexpr Duration kAvoidTime = std::chrono::seconds(1);
 
-// A weight for rendezvous hashing: the same on every VM.
-std::uint64_t Weight(std::uint64_t key, const std::string& name) {
-  std::string bytes = name;
-  bytes.append(reinterpret_cast<const char*>(&key), sizeof(key));
-  return Checksum(bytes);
-}
-
 }  // namespace
 
 AggregatorDirectory::AggregatorDirectory(VmId own_vm,
@@ -148,8 +142,8 @@
   Candidates ordered = members_found->second;
   const auto sort_by_weight = [this](auto first, auto last, std::uint64_t key) {
     std::sort(first, last, [&](AggregatorIndex a, AggregatorIndex b) {
-      return Weight(key, this->At(a).vm.value()) >
-             Weight(key, this->At(b).vm.value());
+      return RendezvousWeight(key, this->At(a).vm.value()) >
+             RendezvousWeight(key, this->At(b).vm.value());
     });
   };
   sort_by_weight(ordered.begin(), ordered.end(), group.key.value());
@@ -167,7 +161,7 @@
 
 std::uint64_t AggregatorDirectory::RankOf(
     const DataCentreId& data_centre) const {
-  return Weight(Checksum(this->vm.value()), data_centre.value());
+  return RendezvousWeight(Checksum(this->vm.value()), data_centre.value());
 }
 
 std::optional<Duration> AggregatorDirectory::ReportQuantile(
--- a/src/policy/route_reachability.cc
+++ b/src/policy/route_reachability.cc
@@ -12,7 +12,8 @@
   const auto reachable_count =
       std::count_if(fan_out.shards.begin(), fan_out.shards.end(),
                     [&](const ServiceId& shard) {
-                      return directory.HasAnsweringServer(now, shard);
+                      return directory.HasAnsweringServer(now, shard) ||
+                             directory.IsWhollyEvacuated(shard);
                     });
   const auto shard_count = static_cast<double>(fan_out.shards.size());
   return static_cast<double>(reachable_count) <
--- a/src/policy/route_reachability.h
+++ b/src/policy/route_reachability.h
@@ -8,7 +8,9 @@
 namespace marigold {
 
 // True if the table has a fan-out route whose minimum coverage cannot be
-// reached because too few of its shards have an answering server.
+// reached because too few of its shards have an answering server. A shard whose
+// servers are all in evacuated data centres counts as reachable: no entry VM
+// can query it, so that sending callers elsewhere would not help them.
 bool HasUnservableRoute(const BackendDirectory& directory,
                         MonotonicTime now,
                         const RouteTable& table);
--- a/src/programs/control_process.cc
+++ b/src/programs/control_process.cc
@@ -4,6 +4,7 @@
 
 #include <csignal>
 #include <utility>
+#include <vector>
 
 #include "src/core/allocator.h"
 #include "src/core/log.h"
@@ -102,6 +103,17 @@
   LogEvent(LogLevel::kInfo, "stopped");
 }
 
+DataCentreKnowledge ControlProcess::FindDataCentre(
+    const DataCentreId& data_centre) const {
+  ControlStatus status = this->table.Status();
+  status.subscribers = this->hub->Subscribers();
+  const bool has_listing = this->listing.Summary().observed_at.has_value();
+  const auto servers = this->listing.Servers();
+  const std::vector<DataCentreId> entry_vms = this->sharing->DataCentres();
+  return marigold::FindDataCentre({status, *servers, has_listing, entry_vms},
+                                  data_centre);
+}
+
 HttpResponse ControlProcess::AnswerHttp(const HttpRequest& request) const {
   return AnswerControlHttp(request, *this->driver, *this->hub, this->table);
 }
--- a/src/programs/control_process.h
+++ b/src/programs/control_process.h
@@ -13,6 +13,7 @@
 #include "src/net/control/subscriber_hub.h"
 #include "src/net/http/http_server.h"
 #include "src/net/worker_pool.h"
+#include "src/queries/known_data_centres.h"
 #include "src/tables/control_table.h"
 #include "src/tables/listing_table.h"
 
@@ -44,6 +45,9 @@
   // Answers `GET /state`, `/metrics` and `/health`.
   HttpResponse AnswerHttp(const HttpRequest& request) const;
 
+  // Says whether this VM has heard of the data centre.
+  DataCentreKnowledge FindDataCentre(const DataCentreId& data_centre) const;
+
   WorkerPool& workers() { return this->pool; }
   ControlTable& control_table() { return this->table; }
   ListingTable& listing_table() { return this->listing; }
--- a/src/programs/forward_admin.cc
+++ b/src/programs/forward_admin.cc
@@ -6,6 +6,7 @@
 
 #include "src/core/log.h"
 #include "src/policy/route_reachability.h"
+#include "src/wire/json.h"
 
 namespace marigold {
 
@@ -72,15 +73,21 @@
 
 std::string ForwardAdmin::StateJson() const {
   const auto routes = this->sources.lists.Routes();
+  std::string evacuated;
+  for (const DataCentreId& id : this->sources.lists.Evacuated()) {
+    evacuated += (evacuated.empty() ? "" : ",") + QuoteJson(id.value());
+  }
   return fmt::format(R"({{"routes_version":{},"lists_confirmed_age_ms":{:.0f},)"
                      R"("listed_servers":{},"listing_age_ms":{:.0f},)"
-                     R"("connections":{},"leaving":{}}})",
+                     R"("connections":{},"leaving":{},"lists_index":{},)"
+                     R"("evacuated":[{}]}})",
                      routes ? routes->table().version.value() : 0,
                      ToMilliseconds(this->sources.lists_confirmed_age()),
                      this->sources.listing.Servers()->size(),
                      ListingAgeMs(this->sources.listing, this->clock.Now()),
                      this->sources.open_connections(),
-                     this->sources.lifecycle.phase() != ProcessPhase::kServing);
+                     this->sources.lifecycle.phase() != ProcessPhase::kServing,
+                     this->sources.lists.index().value(), evacuated);
 }
 
 }  // namespace marigold
--- a/src/programs/forward_components.cc
+++ b/src/programs/forward_components.cc
@@ -38,6 +38,7 @@
   directory.retry_budget.window = FromSeconds(settings.retry_window_s);
   directory.retry_budget.started_at = SystemClock().Now();
   directory.seed = SystemSeed();
+  directory.vm = VmId(settings.vm);
   return directory;
 }
 
--- a/src/programs/forward_process.h
+++ b/src/programs/forward_process.h
@@ -102,6 +102,12 @@
   Result<void> Open() {
     this->started_at = this->clock.Now();
     this->listing.OnChanged([this] { this->ApplyListing(); });
+    // The routes count as known only after this, so that a process that starts
+    // sends nothing to an evacuated data centre.
+    this->lists.OnApplied([this] {
+      this->ApplyEvacuation();
+      this->ApplyColdRates();
+    });
     const ForwardContext shared{this->lists,
                                 this->backends,
                                 this->aggregators,
@@ -159,6 +165,7 @@
               this->ForwarderOf(strand)->ServeQueries(std::move(socket));
             }));
     this->control.SetAggregatorsHandler([this](const AggregatorUpdate& update) {
+      this->ApplyEntryVms(update);
       const std::size_t count =
           this->aggregators.Access([&](AggregatorDirectory& directory) {
             directory.Apply(update);
@@ -172,6 +179,17 @@
     return {};
   }
 
+  void ApplyEntryVms(const AggregatorUpdate& update) {
+    std::vector<VmId> added;
+    for (const Aggregator& aggregator : update.added) {
+      added.push_back(aggregator.vm);
+    }
+    const MonotonicTime now = this->clock.Now();
+    this->backends.Access([&](BackendDirectory& directory) {
+      directory.SetEntryVms(now, update.is_full, added, update.removed);
+    });
+  }
+
   std::shared_ptr<StrandForwarder> ForwarderOf(
       const std::shared_ptr<Strand>& strand) const {
     for (const auto& [own_strand, forwarder] : this->forwarders) {
@@ -197,23 +215,99 @@
   }
 
   void ApplyListing() {
-    const auto servers = this->listing.Servers();
+    const ListingSnapshot snapshot = this->listing.Snapshot();
     const MonotonicTime now = this->clock.Now();
     const auto retired =
         this->backends.Access([&](BackendDirectory& directory) {
-          return directory.ApplyListing(now, *servers);
+          return directory.ApplyListing(now, *snapshot.servers,
+                                        snapshot.summary.observed_at);
         });
+    this->applied_listing = snapshot.summary.hash;
     LogEvent(LogLevel::kInfo, "listing_applied",
-             {{"servers", servers->size()},
+             {{"servers", snapshot.servers->size()},
               {"retired", retired.size()},
-              {"hash", this->listing.Summary().hash.value()},
+              {"hash", snapshot.summary.hash.value()},
               {"age_ms", ListingAgeMs(this->listing, now)}});
+    this->Retire(retired);
+  }
+
+  // Closes the free connections to servers that get no new requests.
+  void Retire(const std::vector<ServerIndex>& retired) {
     for (const auto& [strand, forwarder] : this->forwarders) {
       strand->Post(
           [forwarder = forwarder, retired] { forwarder->Retire(retired); });
     }
   }
 
+  // Called for one update of the lists at a time.
+  void ApplyEvacuation() {
+    EvacuatedDataCentres evacuated = this->lists.Evacuated();
+    if (evacuated == this->evacuated_in_force) {
+      return;
+    }
+    const MonotonicTime now = this->clock.Now();
+    const auto retired =
+        this->backends.Access([&](BackendDirectory& directory) {
+          return directory.SetEvacuated(now, evacuated);
+        });
+    LogEvent(LogLevel::kInfo, "evacuation_in_force",
+             {{"data_centres", ToString(evacuated)},
+              {"index", this->lists.index().value()},
+              {"retired", retired.size()}});
+    this->metrics.SetEvacuated(evacuated.size());
+    this->evacuated_in_force = std::move(evacuated);
+    this->Retire(retired);
+  }
+
+  // Called for one update of the lists at a time.
+  void ApplyColdRates() {
+    const auto routes = this->lists.Routes();
+    if (routes == this->routes_of_cold_rates) {
+      return;
+    }
+    this->backends.Access([&](BackendDirectory& directory) {
+      directory.SetColdRates(routes->table().services);
+    });
+    this->routes_of_cold_rates = routes;
+  }
+
+  // Tells the directory how old its list is, finds out which servers have
+  // returned, and reports the servers that are held back as possibly cold.
+  void UpdateColdServers(MonotonicTime now) {
+    const ListingSummary summary = this->listing.Summary();
+    const bool is_applied = summary.hash == this->applied_listing.load();
+    std::vector<ServerIndex> probes;
+    ColdReport report;
+    std::vector<ListedServer> changed;
+    this->backends.Access([&](BackendDirectory& directory) {
+      if (is_applied && summary.observed_at) {
+        directory.ConfirmListing(*summary.observed_at);
+      }
+      probes = directory.TakeReturnProbes(now);
+      report = directory.TakeColdReport(now);
+      for (const ColdChange& change : report.changes) {
+        changed.push_back(directory.ListedServerAt(change.server));
+      }
+    });
+    this->metrics.OnColdServers(report.held_back, report.sends);
+    for (std::size_t i = 0; i < changed.size(); ++i) {
+      const ColdChange& change = report.changes[i];
+      const bool is_held_back = change.reason != ColdReason::kNone;
+      LogEvent(LogLevel::kInfo,
+               is_held_back ? "server_held_back" : "server_released",
+               {{"server", changed[i].server.value()},
+                {"service", changed[i].service.value()},
+                {"reason", ToString(change.reason)},
+                {"rate", change.cold_rate.value()},
+                {"list_age_ms", ListingAgeMs(this->listing, now)}});
+    }
+    const auto& [strand, forwarder] = this->forwarders.front();
+    for (const ServerIndex server : probes) {
+      strand->Post(
+          [forwarder = forwarder, server] { forwarder->ProbeReturn(server); });
+    }
+  }
+
   void ScheduleTick() {
     this->tick_timer = this->pool.After(kTickInterval, [this] {
       this->Tick();
@@ -223,10 +317,11 @@
 
   // Applies this entry VM's share of the retry budgets, sends the servers that
   // were found slow to the control VMs, and probes data centres that are cut
-  // off.
+  // off and servers that may be cold.
   void Tick() {
     const Fraction share = this->listing.FleetLimitShare();
     const MonotonicTime now = this->clock.Now();
+    this->UpdateColdServers(now);
     ServerHints new_hints;
     const auto probes = this->backends.Access([&](BackendDirectory& directory) {
       directory.SetRetryBudgetShare(share);
@@ -304,6 +399,11 @@
   AggregatorTable aggregators;
   ForwardMetrics metrics;
   Lifecycle lifecycle;
+  // Used only by the callback of `lists`.
+  EvacuatedDataCentres evacuated_in_force;
+  std::shared_ptr<const RouteIndex> routes_of_cold_rates;
+  // The listing that the directory has.
+  std::atomic<ListingHash> applied_listing{};
   std::atomic<std::size_t> undrained_strands = 0;
   WorkerPool pool;
   ControlClient control;
--- a/src/tables/control_state.cc
+++ b/src/tables/control_state.cc
@@ -148,6 +148,16 @@
   return PutRoutesOutcome{true, put.table.version};
 }
 
+ControlOutcome ControlState::Execute(const SetEvacuation& order) {
+  const bool changed = SetEvacuated(this->evacuated_data_centres,
+                                    order.data_centre, order.is_evacuated);
+  if (changed) {
+    this->last_evacuation_change_index = this->last_applied;
+    this->last_list_change_index = this->last_applied;
+  }
+  return SetEvacuationOutcome{changed};
+}
+
 std::optional<IndexedEdits> ControlState::EditsAfter(LogIndex index) const {
   return this->changes.EditsAfter(index);
 }
--- a/src/tables/control_state.h
+++ b/src/tables/control_state.h
@@ -11,6 +11,7 @@
 #include "src/core/ids.h"
 #include "src/core/result.h"
 #include "src/core/units.h"
+#include "src/policy/evacuation.h"
 #include "src/tables/action_ledger.h"
 #include "src/tables/change_log.h"
 #include "src/tables/list_edits.h"
@@ -49,9 +50,9 @@
   }
 };
 
-// The replicated state machine: the two lists, the route table, remembered
-// change ids and the action ledger. The same sequence of `Apply` calls produces
-// the same state on every member.
+// The replicated state machine: the two lists, the route table, the evacuated
+// data centres, remembered change ids and the action ledger. The same sequence
+// of `Apply` calls produces the same state on every member.
 class ControlState {
  public:
   explicit ControlState(ControlStateSettings state_settings);
@@ -75,8 +76,8 @@
   const Lists& lists() const { return this->current_lists; }
   // Index of the last applied command.
   LogIndex applied() const { return this->last_applied; }
-  // Index of the last command that changed a list or the routes. Entry VMs
-  // compare their lists with it.
+  // Index of the last command that changed a list, the routes or the evacuated
+  // data centres. Entry VMs compare their lists with it.
   LogIndex lists_index() const { return this->last_list_change_index; }
   // The accepted edits after `index` in order, or nothing if the rows of some
   // of them are no longer held. The full lists have to be sent then.
@@ -90,6 +91,13 @@
   }
   // Index of the last command that changed the routes.
   LogIndex routes_index() const { return this->last_routes_change_index; }
+  const EvacuatedDataCentres& evacuated() const {
+    return this->evacuated_data_centres;
+  }
+  // Index of the last command that changed the evacuated data centres.
+  LogIndex evacuation_index() const {
+    return this->last_evacuation_change_index;
+  }
   std::size_t ledger_size() const { return this->ledger.size(); }
 
  private:
@@ -100,6 +108,7 @@
   ControlOutcome Execute(const ReleaseClaim& release);
   ControlOutcome Execute(const RecordOutcome& outcome);
   ControlOutcome Execute(const PutRoutes& put);
+  ControlOutcome Execute(const SetEvacuation& order);
   // Checks an edit whose change id is not remembered, and applies it if it is
   // valid.
   PutRowsOutcome Decide(const PutRows& edit);
@@ -115,6 +124,8 @@
   LogIndex last_list_change_index;
   std::shared_ptr<const PutRoutes> routes_in_force;
   LogIndex last_routes_change_index;
+  EvacuatedDataCentres evacuated_data_centres;
+  LogIndex last_evacuation_change_index;
   // Highest `proposed_at` of the applied commands; the clock of the ledger.
   WallTime latest_proposed_at;
 };
--- a/src/tables/control_state_image.cc
+++ b/src/tables/control_state_image.cc
@@ -66,6 +66,8 @@
   WallTime latest_proposed_at;
   std::optional<PutRoutes> routes;
   LogIndex routes_index;
+  EvacuatedDataCentres evacuated;
+  LogIndex evacuation_index;
 };
 
 std::string ControlState::Serialise() const {
@@ -75,7 +77,8 @@
                             : std::nullopt;
   body(this->last_applied, this->last_list_change_index,
        this->latest_proposed_at, this->current_lists, this->changes,
-       this->ledger, routes, this->last_routes_change_index);
+       this->ledger, routes, this->last_routes_change_index,
+       this->evacuated_data_centres, this->last_evacuation_change_index);
   const std::string bytes = body.Take();
   ImageHeader header;
   header.body_checksum = Checksum(bytes);
@@ -89,7 +92,7 @@
   try {
     body(restored.applied, restored.lists_index, restored.latest_proposed_at,
          restored.lists, restored.changes, restored.ledger, restored.routes,
-         restored.routes_index);
+         restored.routes_index, restored.evacuated, restored.evacuation_index);
   } catch (const cereal::Exception& error) {
     return boost::leaf::new_error(
         ParseError{"body", kHeaderBytes + body.offset(), error.what()});
@@ -113,6 +116,8 @@
           ? std::make_shared<const PutRoutes>(std::move(*restored.routes))
           : nullptr;
   this->last_routes_change_index = restored.routes_index;
+  this->evacuated_data_centres = std::move(restored.evacuated);
+  this->last_evacuation_change_index = restored.evacuation_index;
   return {};
 }
 
--- a/src/tables/control_status.h
+++ b/src/tables/control_status.h
@@ -7,6 +7,7 @@
 
 #include "src/core/ids.h"
 #include "src/core/units.h"
+#include "src/policy/evacuation.h"
 #include "src/replication/types.h"
 
 namespace marigold {
@@ -52,6 +53,7 @@
   ListVersion usage_version;
   std::uint64_t ledger_entries = 0;
   std::vector<SubscriberStatus> subscribers;
+  EvacuatedDataCentres evacuated{};
 
   template <class Archive>
   void serialize(Archive& archive) {
@@ -60,7 +62,7 @@
             this->term, this->commit_index, this->applied_index,
             this->last_index, this->snapshot_index, this->membership,
             this->lists_index, this->plans_version, this->usage_version,
-            this->ledger_entries, this->subscribers);
+            this->ledger_entries, this->subscribers, this->evacuated);
   }
 };
 
--- a/src/tables/control_table.cc
+++ b/src/tables/control_table.cc
@@ -47,6 +47,9 @@
   if (this->state.routes_index() > known_index) {
     update.routes = this->state.routes()->table;
   }
+  if (this->state.evacuation_index() > known_index) {
+    update.evacuated = this->state.evacuated();
+  }
   return update;
 }
 
@@ -79,6 +82,7 @@
   status.plans_version = this->state.lists().plans_version;
   status.usage_version = this->state.lists().usage_version;
   status.ledger_entries = this->state.ledger_size();
+  status.evacuated = this->state.evacuated();
   return status;
 }
 
@@ -89,6 +93,7 @@
   if (this->state.routes()) {
     update.routes = this->state.routes()->table;
   }
+  update.evacuated = this->state.evacuated();
   return update;
 }
 
--- a/src/tables/control_table.h
+++ b/src/tables/control_table.h
@@ -33,8 +33,8 @@
                        const ControlCommand& command);
   // Fails with `ParseError`. The state is unchanged then.
   Result<void> Restore(std::string_view image);
-  // Replaces the status of this VM and its group. The lists, the ledger and the
-  // subscribers of `status` are ignored.
+  // Replaces the status of this VM and its group. The lists, the ledger, the
+  // evacuated data centres and the subscribers of `status` are ignored.
   void Publish(ControlStatus status);
 
   // Queries.
--- a/src/tables/forward_metrics.cc
+++ b/src/tables/forward_metrics.cc
@@ -55,6 +55,22 @@
                     "newest.")
               .Register(*registry)
               .Add({})),
+      evacuated(prometheus::BuildGauge()
+                    .Name("marigold_evacuated_data_centres")
+                    .Help("Data centres whose backend servers get no requests.")
+                    .Register(*registry)
+                    .Add({})),
+      cold_servers(
+          prometheus::BuildGauge()
+              .Name("marigold_cold_servers")
+              .Help("Backend servers that are held back as possibly cold.")
+              .Register(*registry)
+              .Add({})),
+      cold_sends(AddCounterFamily(*registry,
+                                  "marigold_cold_sends_total",
+                                  "Sends to servers that are held back as "
+                                  "possibly cold.")
+                     .Add({})),
       partial(AddCounterFamily(*registry,
                                "marigold_forward_partial_total",
                                "Merged answers that lack shards.")
@@ -88,6 +104,15 @@
   this->lists_confirmed_age.Set(ToSeconds(age));
 }
 
+void ForwardMetrics::SetEvacuated(std::size_t data_centres) {
+  this->evacuated.Set(static_cast<double>(data_centres));
+}
+
+void ForwardMetrics::OnColdServers(std::size_t held_back, std::uint64_t sends) {
+  this->cold_servers.Set(static_cast<double>(held_back));
+  this->cold_sends.Increment(static_cast<double>(sends));
+}
+
 void ForwardMetrics::OnGroupQuery(std::string_view event) {
   this->group_queries.Add({{"event", std::string(event)}}).Increment();
 }
--- a/src/tables/forward_metrics.h
+++ b/src/tables/forward_metrics.h
@@ -6,6 +6,8 @@
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
+#include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -32,6 +34,11 @@
   // Sets the time since a control VM last confirmed that the lists are the
   // newest.
   void SetListsConfirmedAge(Duration age);
+  // Sets the number of evacuated data centres.
+  void SetEvacuated(std::size_t data_centres);
+  // Sets the number of servers that are held back as possibly cold, and adds
+  // the sends to them.
+  void OnColdServers(std::size_t held_back, std::uint64_t sends);
   // A query for a group of shards. `event` is a stable text such as "sent".
   void OnGroupQuery(std::string_view event);
 
@@ -49,6 +56,9 @@
   prometheus::Family<prometheus::Counter>& group_queries;
   prometheus::Family<prometheus::Counter>& server_notices;
   prometheus::Gauge& lists_confirmed_age;
+  prometheus::Gauge& evacuated;
+  prometheus::Gauge& cold_servers;
+  prometheus::Counter& cold_sends;
   prometheus::Counter& partial;
   prometheus::Counter& first_sends;
   prometheus::Counter& repeated_sends;
--- a/src/tables/list_table.cc
+++ b/src/tables/list_table.cc
@@ -1,6 +1,7 @@
 #include "src/tables/list_table.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "src/core/invariant.h"
 
@@ -31,8 +32,25 @@
 
 }  // namespace
 
+void ListTable::OnApplied(std::function<void()> on_applied) {
+  this->on_update_applied = std::move(on_applied);
+}
+
 ListUpdateResult ListTable::Apply(MonotonicTime now, const ListUpdate& update) {
-  const RankedLock lock(this->mutex);
+  ListUpdateResult result;
+  {
+    const RankedLock lock(this->mutex);
+    result = this->ApplyLocked(now, update);
+  }
+  if (result == ListUpdateResult::kApplied) {
+    this->on_update_applied();
+  }
+  return result;
+}
+
+// Requires that the lock is held.
+ListUpdateResult ListTable::ApplyLocked(MonotonicTime now,
+                                        const ListUpdate& update) {
   if (update.to <= this->index_in_force) {
     return ListUpdateResult::kStale;
   }
@@ -60,6 +78,9 @@
                    "an update has a route table of an older version");
     this->routes = std::make_shared<const RouteIndex>(*update.routes);
   }
+  if (update.evacuated) {
+    this->evacuated = *update.evacuated;
+  }
   this->index_in_force = update.to;
   this->last_change = now;
   return ListUpdateResult::kApplied;
@@ -102,9 +123,15 @@
   if (this->routes) {
     update.routes = this->routes->table();
   }
+  update.evacuated = this->evacuated;
   return update;
 }
 
+EvacuatedDataCentres ListTable::Evacuated() const {
+  const RankedLock lock(this->mutex);
+  return this->evacuated;
+}
+
 Lists ListTable::Copy() const {
   const RankedLock lock(this->mutex);
   return this->lists;
--- a/src/tables/list_table.h
+++ b/src/tables/list_table.h
@@ -1,6 +1,7 @@
 #ifndef SRC_TABLES_LIST_TABLE_H_
 #define SRC_TABLES_LIST_TABLE_H_
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <vector>
@@ -8,6 +9,7 @@
 #include "src/commands/control_commands.h"
 #include "src/core/ranked_mutex.h"
 #include "src/core/units.h"
+#include "src/policy/evacuation.h"
 #include "src/policy/routes.h"
 #include "src/tables/control_state.h"
 
@@ -25,10 +27,14 @@
   // The route table, if it has changed after `from`. Always present with full
   // lists if there is a route table.
   std::optional<RouteTable> routes{};
+  // The evacuated data centres, if they have changed after `from`. Always
+  // present with full lists.
+  std::optional<EvacuatedDataCentres> evacuated{};
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(this->from, this->to, this->full_lists, this->edits, this->routes);
+    archive(this->from, this->to, this->full_lists, this->edits, this->routes,
+            this->evacuated);
   }
 };
 
@@ -52,9 +58,14 @@
   std::uint32_t weight = 1;
 };
 
-// The two lists and the routes in force on one entry VM, shared by all workers.
+// The two lists, the routes and the evacuated data centres in force on one
+// entry VM, shared by all workers.
 class ListTable {
  public:
+  // Sets a callback that runs after an update was applied, while no lock is
+  // held and before `Apply` returns. Must be called before any other use.
+  void OnApplied(std::function<void()> on_applied);
+
   // Commands.
 
   // Applies an update. The index in force never decreases.
@@ -73,15 +84,21 @@
   Lists Copy() const;
   // Null before the first route table.
   std::shared_ptr<const RouteIndex> Routes() const;
-  // An update with the full lists, the routes and the index in force.
+  EvacuatedDataCentres Evacuated() const;
+  // An update with the full lists, the routes, the evacuated data centres and
+  // the index in force.
   ListUpdate FullUpdate() const;
 
  private:
+  ListUpdateResult ApplyLocked(MonotonicTime now, const ListUpdate& update);
+
   mutable RankedMutex<LockRank::kListTable> mutex;
   Lists lists;
   std::shared_ptr<const RouteIndex> routes;
+  EvacuatedDataCentres evacuated;
   LogIndex index_in_force;
   MonotonicTime last_change;
+  std::function<void()> on_update_applied = [] {};
 };
 
 }  // namespace marigold
--- a/src/tables/listing_table.cc
+++ b/src/tables/listing_table.cc
@@ -66,6 +66,11 @@
   return this->servers;
 }
 
+ListingSnapshot ListingTable::Snapshot() const {
+  const RankedLock lock(this->mutex);
+  return {this->summary, this->servers};
+}
+
 ListingHash HashOf(const std::vector<ListedServer>& servers) {
   return ListingHash(Checksum(EncodeBinary(servers)));
 }
--- a/src/tables/listing_table.h
+++ b/src/tables/listing_table.h
@@ -18,6 +18,12 @@
   std::optional<MonotonicTime> observed_at;
 };
 
+// The rows of a listing together with their summary.
+struct ListingSnapshot {
+  ListingSummary summary;
+  std::shared_ptr<const std::vector<ListedServer>> servers;
+};
+
 // The newest listing of backend servers that this process has read or received,
 // and its share of the limits that all entry VMs have together. Shared by all
 // workers.
@@ -47,6 +53,8 @@
   Fraction FleetLimitShare() const;
   ListingSummary Summary() const;
   std::shared_ptr<const std::vector<ListedServer>> Servers() const;
+  // Both of one moment.
+  ListingSnapshot Snapshot() const;
 
  private:
   mutable RankedMutex<LockRank::kListing> mutex;
--- a/src/wire/control_json.cc
+++ b/src/wire/control_json.cc
@@ -48,6 +48,10 @@
   for (const SubscriberStatus& subscriber : status.subscribers) {
     subscribers.push_back(ToJson(subscriber));
   }
+  json::array evacuated;
+  for (const DataCentreId& data_centre : status.evacuated) {
+    evacuated.emplace_back(data_centre.value());
+  }
   return {
       {"self", ToJson(status.self)},
       {"data_centre", status.data_centre.value()},
@@ -65,6 +69,7 @@
       {"plans_version", status.plans_version.value()},
       {"usage_version", status.usage_version.value()},
       {"ledger_entries", status.ledger_entries},
+      {"evacuated", std::move(evacuated)},
       {"members", std::move(members)},
       {"entry_vms", std::move(subscribers)},
   };
--- a/src/wire/control_messages.h
+++ b/src/wire/control_messages.h
@@ -245,11 +245,14 @@
   std::optional<RouteTable> routes{};
   // The control VMs that the sender knows.
   std::vector<ControlVmLocation> controls{};
+  // Sent together with the lists.
+  std::optional<EvacuatedDataCentres> evacuated{};
 
   template <class Archive>
   void serialize(Archive& archive) {
     archive(this->call, this->index, this->is_confirmed, this->has_quorum,
-            this->full_lists, this->leader, this->routes, this->controls);
+            this->full_lists, this->leader, this->routes, this->controls,
+            this->evacuated);
   }
 };
 
--- a/tests/platform/platform_standin.cc
+++ b/tests/platform/platform_standin.cc
@@ -44,7 +44,9 @@
   std::int64_t replicas = 3;
   // The first three numbers of the backend servers' IPv4 addresses.
   std::string network = "127.52.1";
-  std::string data_centre = "dc1";
+  // Separated by commas. The replicas of a service are spread over them in
+  // turn.
+  std::string data_centres = "dc1";
   // The port of the servers in the list. It differs from `kServerPort` if a
   // relay forwards connections to the servers.
   std::int64_t listed_port = kServerPort;
@@ -56,6 +58,7 @@
   std::string id;
   std::string service;
   std::string address;
+  std::string data_centre;
 };
 
 std::string FieldOf(const CallerRequest& request, const char* name) {
@@ -85,11 +88,14 @@
   explicit Standin(const StandinSettings& standin_settings)
       : settings(standin_settings), record(standin_settings.record), pool(2) {
     int address_suffix = 0;
+    const std::vector<std::string> data_centres =
+        Split(this->settings.data_centres, ',');
     for (const std::string& service : Split(this->settings.services, ',')) {
       for (std::int64_t i = 0; i < this->settings.replicas; ++i) {
         this->servers.push_back(
             {fmt::format("i-{}-{}", service, i), service,
-             fmt::format("{}.{}", this->settings.network, ++address_suffix)});
+             fmt::format("{}.{}", this->settings.network, ++address_suffix),
+             data_centres[static_cast<std::size_t>(i) % data_centres.size()]});
       }
     }
   }
@@ -132,7 +138,7 @@
           R"("Version":"v1","Capacity":4,"State":"ready",)"
           R"("ColdRemainingMs":0}})",
           entries.empty() ? "" : ",", server.id, server.service, server.address,
-          this->settings.listed_port, this->settings.data_centre);
+          this->settings.listed_port, server.data_centre);
     }
     // Entries of another writer, which name no server.
     const std::string broken_entries = R"({"Id":"broken"},{"Id":")"
@@ -266,8 +272,8 @@
                   "Number of servers of each service.");
   table.AddText("network", settings.network, "numbers",
                 "The first three numbers of the servers' addresses.");
-  table.AddText("data-centre", settings.data_centre, "id",
-                "Data centre of the servers.");
+  table.AddText("data-centre", settings.data_centres, "ids",
+                "Data centres of the servers, separated by commas.");
   table.AddNumber("listed-port", settings.listed_port, 1, 65535, "port",
                   "Port of the servers in the list; they listen on 9000.");
   table.AddText("record", settings.record, "file",
--- a/tests/platform/system.sh
+++ b/tests/platform/system.sh
@@ -15,6 +15,8 @@
 stop_bound_s=${stop_bound_s:-6}
 # The number of servers of each service.
 replicas=${replicas:-2}
+# The data centres of the servers, to which the replicas belong in turn.
+server_data_centres=${server_data_centres:-dc1}
 # The users require that a configuration is acknowledged within `ack_ms` and that
 # all VMs recover within `recovery_ms`.
 ack_ms=5000
@@ -152,7 +154,7 @@
 
 start_standin() {
   "$bin/platform-standin" --list=$list --services=s1,s2 --replicas=$replicas \
-    --network=$base.1 --record="$work/record" >"$work/standin.log" 2>&1 &
+    --data-centre="$server_data_centres" --network=$base.1 --record="$work/record" >"$work/standin.log" 2>&1 &
   pids[standin]=$!
   disown
 }
