Test cold servers with real programs; probe an unreachable server sooner

Cause: the limit for cold servers was tested in virtual time only. After a loss of packets a server stayed held back for up to 1 s before the first connection showed that it was reachable.

The first probe of an unreachable server comes after 0.2 s.

--- a/src/policy/cold_limiter.cc
+++ b/src/policy/cold_limiter.cc
@@ -98,7 +98,7 @@
 
 void ColdStatus::OnUnreachable(MonotonicTime now) {
   if (!std::exchange(this->is_unreachable, true)) {
-    this->next_probe_at = now + kProbeInterval;
+    this->next_probe_at = now + kFirstProbeDelay;
   }
 }
 
--- a/src/policy/cold_limiter.h
+++ b/src/policy/cold_limiter.h
@@ -134,6 +134,9 @@
 
   // A list that is read this long after a return reflects it.
   static constexpr Duration kListLag = std::chrono::seconds(1);
+  // The first probe comes soon, because a loss of packets also makes a server
+  // seem unreachable.
+  static constexpr Duration kFirstProbeDelay = std::chrono::milliseconds(200);
   static constexpr Duration kProbeInterval = std::chrono::seconds(1);
 
  private:
--- a/tests/platform/platform_standin.cc
+++ b/tests/platform/platform_standin.cc
@@ -6,7 +6,9 @@
 // before the answer if both arrive on the same connection. A server whose id
 // follows "/leave/" in the path says from then on that it is leaving, and one
 // whose id follows "/pause/" refuses all requests for 2 s and asks for a pause
-// of what is left of them. The list does not change.
+// of what is left of them. The list does not change. It shows a server whose id
+// follows "/cold/" in the path as cold from then on, and after "/warm/" no
+// more.
 
 #include <fmt/format.h>
 
@@ -33,6 +35,7 @@
 constexpr std::size_t kMaxConnections = 1'000;
 constexpr std::uint16_t kServerPort = 9000;
 constexpr auto kPauseTime = std::chrono::seconds(2);
+constexpr int kColdTimeMs = 5'000;
 constexpr std::size_t kReplyBytes = 34;
 // The reply to a request whose path contains "/large".
 constexpr std::size_t kLargeReplyBytes = 1024 * 1024;
@@ -136,9 +139,10 @@
       entries += fmt::format(
           R"({}{{"Id":"{}","Backend":"{}","Address":"{}:{}","Zone":"{}",)"
           R"("Version":"v1","Capacity":4,"State":"ready",)"
-          R"("ColdRemainingMs":0}})",
+          R"("ColdRemainingMs":{}}})",
           entries.empty() ? "" : ",", server.id, server.service, server.address,
-          this->settings.listed_port, server.data_centre);
+          this->settings.listed_port, server.data_centre,
+          this->IsCold(server) ? kColdTimeMs : 0);
     }
     // Entries of another writer, which name no server.
     const std::string broken_entries = R"({"Id":"broken"},{"Id":")"
@@ -151,6 +155,24 @@
                        entries, broken_entries);
   }
 
+  bool IsCold(const Server& server) const {
+    const std::lock_guard lock(this->cold_mutex);
+    return this->cold_servers.contains(server.id);
+  }
+
+  // Marks the servers that the path names as cold or warm, whichever server has
+  // the request.
+  void MarkCold(const std::string& target) {
+    const std::lock_guard lock(this->cold_mutex);
+    for (const Server& server : this->servers) {
+      if (target.find("/cold/" + server.id) != std::string::npos) {
+        this->cold_servers.insert(server.id);
+      } else if (target.find("/warm/" + server.id) != std::string::npos) {
+        this->cold_servers.erase(server.id);
+      }
+    }
+  }
+
   CallerHandlers HandlersOf(const Server& server) {
     CallerHandlers handlers;
     handlers.on_request = [this, server](
@@ -186,6 +208,7 @@
     if (target.find("/leave/" + server.id) != std::string::npos) {
       this->leaving_servers.insert(server.id);
     }
+    this->MarkCold(target);
     const auto now = std::chrono::steady_clock::now();
     if (target.find("/pause/" + server.id) != std::string::npos) {
       this->pause_ends.try_emplace(server.id, now + kPauseTime);
@@ -251,6 +274,8 @@
       first_sessions;
   // Used only on that strand as well.
   std::set<std::string> leaving_servers;
+  mutable std::mutex cold_mutex;
+  std::set<std::string> cold_servers;
   std::map<std::string, std::chrono::steady_clock::time_point> pause_ends;
   WorkerPool pool;
   std::vector<std::unique_ptr<CallerListener>> listeners;
--- a/tests/platform/system.sh
+++ b/tests/platform/system.sh
@@ -17,6 +17,8 @@
 replicas=${replicas:-2}
 # The data centres of the servers, to which the replicas belong in turn.
 server_data_centres=${server_data_centres:-dc1}
+# The requests per second that a cold server of s1 can handle, or 0 for no limit.
+cold_per_s=${cold_per_s:-0}
 # The users require that a configuration is acknowledged within `ack_ms` and that
 # all VMs recover within `recovery_ms`.
 ack_ms=5000
@@ -104,7 +106,7 @@
   "RouteType":"non_idempotent","TimeoutMs":$2,"TargetLatencyMs":200,"Backend":"s1","Attempts":2},
  {"Name":"newest","Host":"a.example","PathPrefix":"/v$1/","RouteType":"idempotent",
   "TimeoutMs":$2,"TargetLatencyMs":200,"Backend":"s1","Attempts":2}],
- "Backends":[{"Name":"s1","HealthPath":"/health","MaxConnections":50},
+ "Backends":[{"Name":"s1","HealthPath":"/health","MaxConnections":50,"ColdPerS":$cold_per_s},
   {"Name":"s2","HealthPath":"/health","MaxConnections":50}],
  "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":$max_body_bytes,
   "HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}
--- a/tests/process/platform_evacuation.sh
+++ b/tests/process/platform_evacuation.sh
@@ -3,7 +3,7 @@
 # it is wrong, requests reach servers that are about to lose their power, an order is
 # lost with the control VMs, or a data centre stays empty after the end.
 set -euo pipefail
-base=127.58
+base=127.62
 replicas=2
 server_data_centres=dc1,dc2
 # Within this time after its acknowledgement, an order is in force on all entry VMs.
