Show held-back servers in the state of an entry VM

Cause: /state of an entry VM did not show how many servers it holds back as possibly cold, and no test covered servers of a data centre that is cut off while only some of them were found unreachable.

With the cut-off rule removed (trial), the other tests of cold_limiter_test pass, so that the new one is needed.

--- a/src/policy/backend_directory.h
+++ b/src/policy/backend_directory.h
@@ -272,6 +272,8 @@
   // True if at least one data centre is cut off, which means that none of its
   // servers answers.
   bool HasCutOffDataCentre(MonotonicTime now) const;
+  // The number of usable servers that are held back as possibly cold.
+  std::size_t CountHeldBack(MonotonicTime now) const;
   // The number of servers that were ever listed. A restarted server counts as
   // another one.
   std::size_t size() const { return this->servers.size(); }
@@ -373,6 +375,8 @@
   ColdReason HeldBackFor(MonotonicTime now,
                          const Service& service,
                          const Server& server) const;
+  // As above, and `kNone` if the server is not usable.
+  ColdReason HeldBackFor(MonotonicTime now, const Server& server) const;
   // True if the server is available and not held back.
   bool IsWarm(MonotonicTime now,
               const Service& service,
--- a/src/policy/backend_directory_cold.cc
+++ b/src/policy/backend_directory_cold.cc
@@ -53,20 +53,34 @@
   report.sends = std::exchange(this->cold_sends, 0);
   for (std::size_t i = 0; i < this->servers.size(); ++i) {
     Server& server = this->servers[i];
-    const Service& service = this->services[server.listed.service];
-    const ColdReason reason = server.is_usable
-                                  ? this->HeldBackFor(now, service, server)
-                                  : ColdReason::kNone;
+    const ColdReason reason = this->HeldBackFor(now, server);
     const bool is_held_back = reason != ColdReason::kNone;
     report.held_back += is_held_back ? 1 : 0;
     if (report.changes.size() < kMaxColdChanges &&
         server.cold.UpdateLogged(is_held_back)) {
-      report.changes.push_back({ServerIndex(i + 1), service.cold_rate, reason});
+      report.changes.push_back(
+          {ServerIndex(i + 1),
+           this->services.at(server.listed.service).cold_rate, reason});
     }
   }
   return report;
 }
 
+std::size_t BackendDirectory::CountHeldBack(MonotonicTime now) const {
+  return static_cast<std::size_t>(std::count_if(
+      this->servers.begin(), this->servers.end(), [&](const Server& server) {
+        return this->HeldBackFor(now, server) != ColdReason::kNone;
+      }));
+}
+
+ColdReason BackendDirectory::HeldBackFor(MonotonicTime now,
+                                         const Server& server) const {
+  return server.is_usable
+             ? this->HeldBackFor(now, this->services.at(server.listed.service),
+                                 server)
+             : ColdReason::kNone;
+}
+
 ColdReason BackendDirectory::HeldBackFor(MonotonicTime now,
                                          const Service& service,
                                          const Server& server) const {
--- a/src/programs/forward_admin.cc
+++ b/src/programs/forward_admin.cc
@@ -73,6 +73,10 @@
 
 std::string ForwardAdmin::StateJson() const {
   const auto routes = this->sources.lists.Routes();
+  const std::size_t held_back =
+      this->sources.backends.Access([&](const BackendDirectory& directory) {
+        return directory.CountHeldBack(this->clock.Now());
+      });
   std::string evacuated;
   for (const DataCentreId& id : this->sources.lists.Evacuated()) {
     evacuated += (evacuated.empty() ? "" : ",") + QuoteJson(id.value());
@@ -80,6 +84,7 @@
   return fmt::format(R"({{"routes_version":{},"lists_confirmed_age_ms":{:.0f},)"
                      R"("listed_servers":{},"listing_age_ms":{:.0f},)"
                      R"("connections":{},"leaving":{},"lists_index":{},)"
+                     R"("held_back_servers":{},)"
                      R"("evacuated":[{}]}})",
                      routes ? routes->table().version.value() : 0,
                      ToMilliseconds(this->sources.lists_confirmed_age()),
@@ -87,7 +92,7 @@
                      ListingAgeMs(this->sources.listing, this->clock.Now()),
                      this->sources.open_connections(),
                      this->sources.lifecycle.phase() != ProcessPhase::kServing,
-                     this->sources.lists.index().value(), evacuated);
+                     this->sources.lists.index().value(), held_back, evacuated);
 }
 
 }  // namespace marigold
--- a/tests/cold_limiter_test.cc
+++ b/tests/cold_limiter_test.cc
@@ -225,6 +225,7 @@
                      {});
       this->ApplyList(i);
       std::vector<RoutedService> services;
+      services.reserve(kShards);
       for (int shard = 0; shard < kShards; ++shard) {
         services.push_back(
             {ShardName(shard), "", 0, {}, RatePerSecond(row.rate)});
@@ -527,4 +528,31 @@
             report.changes[0].reason == ColdReason::kNone);
 }
 
+// Guards against a request of every entry VM to each server of a data centre
+// that was cut off, because only some of its servers were found unreachable.
+Test(ColdLimiter, ServersOfACutOffDataCentreAreHeldBackUntilAfterTheCut) {
+  LimitedService limited(1);
+  BackendDirectory& directory = limited.directory;
+  for (int i = 0; i < 4; ++i) {
+    directory.OnUncountedOutcome(limited.now, ServerIndex(1), seconds(1), {},
+                                 false);
+  }
+  limited.now += seconds(1);
+  const auto reason_of_other = [&] {
+    ColdReason reason = ColdReason::kNone;
+    for (const ColdChange& change :
+         directory.TakeColdReport(limited.now).changes) {
+      reason = change.server == ServerIndex(2) ? change.reason : reason;
+    }
+    return reason;
+  };
+  cr_assert(reason_of_other() == ColdReason::kCutOff);
+  directory.OnUncountedOutcome(limited.now, ServerIndex(1), milliseconds(1), {},
+                               true);
+  directory.ConfirmListing(limited.now + milliseconds(999));
+  cr_assert_eq(directory.TakeColdReport(limited.now).held_back, 2U);
+  directory.ConfirmListing(limited.now + seconds(1));
+  cr_assert_eq(directory.TakeColdReport(limited.now).held_back, 0U);
+}
+
 }  // namespace marigold
--- a/tests/process/platform_cold.sh
+++ b/tests/process/platform_cold.sh
@@ -55,6 +55,8 @@
 for i in 1 2; do is_ready $i || fail "expected that entry VM $i stays in rotation"; done
 metric() { curl -s -m 1 "$net.1$1:8081/metrics" | sed -n "s/^$2 //p"; }
 expect "the metrics show the held-back servers" 2 "$(metric 1 marigold_cold_servers)"
+expect "the state shows them" 1 \
+  "$(curl -s -m 1 "$net.11:8081/state" | grep -c '"held_back_servers":2')"
 
 marks_warm() { [ "$(send_request 1 "w-$(now_ms)" /act/warm/i-s1-0/warm/i-s1-1 -X POST -d x)" = 200 ]; }
 within 4000 "a request marks both servers as warm" marks_warm
