--- a/src/programs/forward_admin.cc
+++ b/src/programs/forward_admin.cc
@@ -6,6 +6,7 @@
 
 #include "src/core/log.h"
 #include "src/policy/route_reachability.h"
+#include "src/wire/json.h"
 
 namespace marigold {
 
@@ -88,17 +89,28 @@
   const std::size_t customers = routes && routes->table().customers
                                     ? routes->table().customers->size()
                                     : 0;
+  const std::size_t held_back =
+      this->sources.backends.Access([&](const BackendDirectory& directory) {
+        return directory.CountHeldBack(this->clock.Now());
+      });
+  std::string evacuated;
+  for (const DataCentreId& id : this->sources.lists.Evacuated()) {
+    evacuated += (evacuated.empty() ? "" : ",") + QuoteJson(id.value());
+  }
   return fmt::format(R"({{"routes_version":{},"customers":{},)"
                      R"("lists_confirmed_age_ms":{:.0f},)"
                      R"("listed_servers":{},"listing_age_ms":{:.0f},)"
-                     R"("connections":{},"leaving":{},"quotas":{}}})",
+                     R"("connections":{},"leaving":{},"quotas":{},)"
+                     R"("lists_index":{},"held_back_servers":{},)"
+                     R"("evacuated":[{}]}})",
                      routes ? routes->table().version.value() : 0, customers,
                      ToMilliseconds(this->sources.lists_confirmed_age()),
                      this->sources.listing.Servers()->size(),
                      ListingAgeMs(this->sources.listing, this->clock.Now()),
                      this->sources.open_connections(),
                      this->sources.lifecycle.phase() != ProcessPhase::kServing,
-                     this->QuotasJson());
+                     this->QuotasJson(), this->sources.lists.index().value(),
+                     held_back, evacuated);
 }
 
 }  // namespace marigold
--- a/tests/platform/system.sh
+++ b/tests/platform/system.sh
@@ -15,6 +15,10 @@
 stop_bound_s=${stop_bound_s:-6}
 # The number of servers of each service.
 replicas=${replicas:-2}
+# The data centres of the servers, to which the replicas belong in turn.
+server_data_centres=${server_data_centres:-dc1}
+# The requests per second that a cold server of s1 can handle, or 0 for no limit.
+cold_per_s=${cold_per_s:-0}
 # The users require that a configuration is acknowledged within `ack_ms` and that
 # all VMs recover within `recovery_ms`.
 ack_ms=5000
@@ -105,10 +109,11 @@
  {"Name":"act","Host":"a.example","PathPrefix":"/act/",
   "RouteType":"non_idempotent","TimeoutMs":$2,"TargetLatencyMs":200,"Backend":"s1","Attempts":2},
  {"Name":"newest","Host":"a.example","PathPrefix":"/v$1/","RouteType":"idempotent",
-  "TimeoutMs":$2,"TargetLatencyMs":200,"Backend":"s1","Attempts":2,
-  "Public":$newest_is_public}],
- "Tenants":$tenants,
- "Backends":[{"Name":"s1","HealthPath":"/health","MaxConnections":50},
+   "TimeoutMs":$2,"TargetLatencyMs":200,"Backend":"s1","Attempts":2,
+   "Public":$newest_is_public}],
+  "Tenants":$tenants,
+  "Backends":[{"Name":"s1","HealthPath":"/health","MaxConnections":50,
+               "ColdPerS":$cold_per_s},
   {"Name":"s2","HealthPath":"/health","MaxConnections":50}],
  "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":$max_body_bytes,
   "HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}
@@ -158,7 +163,7 @@
 
 start_standin() {
   "$bin/platform-standin" --list=$list --services=s1,s2 --replicas=$replicas \
-    --network=$base.1 --record="$work/record" \
+    --data-centre="$server_data_centres" --network=$base.1 --record="$work/record" \
     --fields-record="${fields_record:-/dev/null}" >"$work/standin.log" 2>&1 &
   pids[standin]=$!
   disown
