--- a/src/commands/admission_gate.h
+++ b/src/commands/admission_gate.h
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -29,6 +30,7 @@
   ServiceId service;
   // When the caller stops waiting for the answer.
   MonotonicTime deadline;
+  RequestPriority priority{};
 };
 
 // Allows one request to run. Counts against the capacity until it is passed to
@@ -40,6 +42,11 @@
 
 using GateDecision = std::variant<AdmissionPermit, Refusal>;
 
+// A request that waits. The ticket allows to withdraw it.
+struct AdmissionWait {
+  TicketId ticket;
+};
+
 // Admits requests within the limits of their customers and the capacity of this
 // process. The policy decides which requests run, wait or are refused.
 // `FindLimits` returns the limits of a customer, or a refusal.
@@ -61,6 +68,12 @@
         runner(task_runner),
         clock(gate_clock) {}
 
+  // A gate that only divides the capacity, for `EnterUnlimited`.
+  AdmissionGate(AdmissionSettings settings,
+                Runner& task_runner,
+                const ClockType& gate_clock)
+      : AdmissionGate(settings, FindLimits(), task_runner, gate_clock) {}
+
   // Asks for a permit. Calls `on_decided` exactly once, either before this call
   // returns or when the wait of the request ends.
   void Enter(const GateRequest& request, OnDecided on_decided) {
@@ -69,25 +82,30 @@
       on_decided(std::move(*refusal));
       return;
     }
-    const TicketId ticket(++this->last_ticket);
-    const AdmissionOffer offer{ticket, request.customer, request.service,
-                               std::get<AdmissionLimits>(limits),
-                               request.deadline};
-    AdmissionDecision decision = this->table.Offer(
-        this->clock.Now(), offer,
-        [self = this->shared_from_this(), ticket, on_decided](bool may_run) {
-          on_decided(may_run ? GateDecision(self->PermitFor(ticket))
-                             : GateDecision(ExpiredRefusal()));
-        });
-    if (std::holds_alternative<AdmissionGranted>(decision)) {
-      on_decided(this->PermitFor(ticket));
-    } else if (auto* refusal = std::get_if<Refusal>(&decision)) {
-      on_decided(std::move(*refusal));
-    } else {
-      this->SetTimer();
+    const auto decision =
+        this->Ask(request, std::get<AdmissionLimits>(limits), on_decided);
+    if (const auto* permit = std::get_if<AdmissionPermit>(&decision)) {
+      on_decided(*permit);
+    } else if (const auto* refusal = std::get_if<Refusal>(&decision)) {
+      on_decided(*refusal);
     }
   }
 
+  // Asks for a permit for a request whose customer has no limits of rate and
+  // concurrency. Calls `on_wait_ended` only if the request waits, exactly once
+  // and on any thread, unless `Withdraw` is called first.
+  std::variant<AdmissionPermit, Refusal, AdmissionWait> EnterUnlimited(
+      const GateRequest& request,
+      OnDecided on_wait_ended) {
+    return this->Ask(request, std::nullopt, std::move(on_wait_ended));
+  }
+
+  // Ends a request that waits, or that has just got its permit. The decision on
+  // it may already be on its way to another thread.
+  void Withdraw(TicketId ticket) {
+    CallWaiters(this->table.Withdraw(this->clock.Now(), ticket));
+  }
+
   // Releases the permit of a request that has ended. Calls `on_decided` of the
   // requests whose wait ends because of it.
   void Leave(const AdmissionPermit& permit) {
@@ -96,6 +114,14 @@
         this->table.Complete(now, permit.ticket, now - permit.admitted_at));
   }
 
+  // The same with the congestion that the request met at backend servers.
+  void Leave(const AdmissionPermit& permit, Congestion congestion) {
+    const MonotonicTime now = this->clock.Now();
+    CallWaiters(this->table.Complete(now, permit.ticket,
+                                     now - permit.admitted_at, congestion));
+  }
+
+  AdmissionStatus Status() const { return this->table.Status(); }
   std::uint32_t running() const { return this->table.running(); }
   std::uint32_t waiting() const { return this->table.waiting(); }
 
@@ -104,6 +130,30 @@
   // timer for each request.
   static constexpr Duration kMinTimerDelay = std::chrono::milliseconds(2);
 
+  std::variant<AdmissionPermit, Refusal, AdmissionWait> Ask(
+      const GateRequest& request,
+      const std::optional<AdmissionLimits>& limits,
+      OnDecided on_wait_ended) {
+    const TicketId ticket(++this->last_ticket);
+    const AdmissionOffer offer{ticket, request.customer, request.service,
+                               limits, request.deadline, request.priority};
+    AdmissionDecision decision = this->table.Offer(
+        this->clock.Now(), offer,
+        [self = this->shared_from_this(), ticket,
+         on_decided = std::move(on_wait_ended)](bool may_run) {
+          on_decided(may_run ? GateDecision(self->PermitFor(ticket))
+                             : GateDecision(ExpiredRefusal()));
+        });
+    if (auto* refusal = std::get_if<Refusal>(&decision)) {
+      return std::move(*refusal);
+    }
+    if (std::holds_alternative<AdmissionGranted>(decision)) {
+      return this->PermitFor(ticket);
+    }
+    this->SetTimer();
+    return AdmissionWait{ticket};
+  }
+
   AdmissionPermit PermitFor(TicketId ticket) const {
     return {ticket, this->clock.Now()};
   }
--- a/src/net/fan_out/group_call.h
+++ b/src/net/fan_out/group_call.h
@@ -146,6 +146,7 @@
       report.is_final = is_final;
       report.sends =
           static_cast<std::uint32_t>(this->run->progress().send_count());
+      report.congestion = this->run->progress().congestion();
       this->Report(std::move(report));
     }
     if (!this->is_finished) {
--- a/src/net/fan_out/grouped_call.h
+++ b/src/net/fan_out/grouped_call.h
@@ -205,13 +205,15 @@
     this->timer.Stop();
     const ForwardPlan& plan = this->search.request_plan();
     const ForwardState state = this->search.state();
-    CallSummary summary{{},
-                        plan,
-                        {},
-                        {},
-                        this->search.parts().answered_count(),
-                        this->search.send_count(),
-                        this->Now() - plan.deadlines.started_at};
+    CallSummary summary{
+        {},
+        plan,
+        {},
+        {},
+        this->search.parts().answered_count(),
+        this->search.send_count(),
+        this->Now() - plan.deadlines.started_at,
+        DecideCongestion(this->search.congestion(), plan.targets.size())};
     FinishCall(this->context.metrics, this->caller, this->call_log, summary,
                state, [this, state](bool closes_connection) {
                  return state == ForwardState::kAnswered
--- a/src/net/forward/call_end.cc
+++ b/src/net/forward/call_end.cc
@@ -16,7 +16,7 @@
   log.Write(summary);
   // Called before the answer, because the session may begin its next request
   // while it sends the answer.
-  caller.on_finished();
+  caller.on_finished(summary.congestion);
   if (!caller.is_disconnected) {
     // If this entry VM could not send the request to any server, the connection
     // closes: over a new connection the caller may reach another entry VM.
--- a/src/net/forward/call_end.h
+++ b/src/net/forward/call_end.h
@@ -26,7 +26,7 @@
   // True once the caller has closed its connection.
   bool is_disconnected = false;
   // Called once the call has ended.
-  std::function<void()> on_finished;
+  std::function<void(Congestion congestion)> on_finished;
 };
 
 // Records the end of a request in the log and the metrics, and answers the
--- a/src/net/forward/call_log.cc
+++ b/src/net/forward/call_log.cc
@@ -51,6 +51,7 @@
        {"answered", summary.answered_targets},
        {"sends", summary.send_count},
        {"failures", this->failures()},
+       {"congestion", ToString(summary.congestion)},
        {"took_ms", ToMilliseconds(summary.latency)},
        {"answer_by_ms", ToMilliseconds(times.answer_by - times.started_at)},
        {"limit_ms", ToMilliseconds(times.give_up_at - times.started_at)}});
--- a/src/net/forward/call_log.h
+++ b/src/net/forward/call_log.h
@@ -8,6 +8,7 @@
 #include "src/core/ids.h"
 #include "src/core/units.h"
 #include "src/policy/backend_directory.h"
+#include "src/policy/congestion_count.h"
 #include "src/policy/forward_types.h"
 
 namespace marigold {
@@ -21,6 +22,8 @@
   std::size_t answered_targets = 0;
   std::size_t send_count = 0;
   Duration latency{};
+  // What the request met at backend servers.
+  Congestion congestion = Congestion::kNone;
 };
 
 // Collects the failed sends of one request and writes the log line of its end.
--- a/src/net/forward/forwarded_call.h
+++ b/src/net/forward/forwarded_call.h
@@ -69,7 +69,8 @@
         {},
         progress.answered_targets(),
         progress.send_count(),
-        this->context.strand->Now() - this->plan.deadlines.started_at};
+        this->context.strand->Now() - this->plan.deadlines.started_at,
+        DecideCongestion(progress.congestion(), this->plan.targets.size())};
     FinishCall(this->context.metrics, this->caller, this->run->failures(),
                summary, state, [this, state](bool closes_connection) {
                  return this->EncodeAnswer(state, closes_connection);
--- a/src/net/forward/forwarder.h
+++ b/src/net/forward/forwarder.h
@@ -3,13 +3,16 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string_view>
 #include <unordered_map>
 #include <utility>
+#include <variant>
 #include <vector>
 
 #include "src/net/fan_out/group_query_server.h"
 #include "src/net/fan_out/grouped_call.h"
+#include "src/net/forward/call_admission.h"
 #include "src/net/forward/forwarded_call.h"
 #include "src/policy/forward_timing.h"
 #include "src/policy/startup_retry.h"
@@ -38,6 +41,8 @@
   std::function<bool()> are_routes_known;
   const Lifecycle& lifecycle;
   StrandLimits limits;
+  // Used only if the route table has customers.
+  std::shared_ptr<ForwardGate> gate;
 };
 
 // Takes the requests of one strand, finds the route of each and starts a call.
@@ -57,6 +62,9 @@
                         std::make_shared<AggregatorLinks>(strand)},
         query_server(
             std::make_shared<GroupQueryServer<MessageCodec>>(call_context)),
+        admission(std::make_shared<CallAdmission>(strand,
+                                                  forward_context.gate,
+                                                  forward_context.metrics)),
         started_at(strand->Now()) {}
 
   CallerHandlers CreateHandlers() {
@@ -152,6 +160,16 @@
     std::function<void(MonotonicTime end)> end_by;
   };
 
+  // A request whose route is known.
+  struct PreparedCall {
+    SessionPtr session;
+    CallerRequest request;
+    CallerMetadata caller;
+    RouteVersion routes_version;
+    ForwardPlan plan;
+    std::size_t top_records = 0;
+  };
+
   // A longer request is sent by this process alone, because each aggregator
   // would get a copy.
   static constexpr std::size_t kMaxGroupedRequestBytes = 16 * 1024;
@@ -184,12 +202,12 @@
                    {kStatusNotFound, "no route matches", std::nullopt});
       return;
     }
-    this->Forward(session, *route, routes->table().version, std::move(request));
+    this->Forward(session, *route, routes->table(), std::move(request));
   }
 
   void Forward(const SessionPtr& session,
                const Route& route,
-               RouteVersion version,
+               const RouteTable& table,
                CallerRequest request) {
     const MonotonicTime now = this->call_context.strand->Now();
     const MonotonicTime drain_deadline =
@@ -214,6 +232,7 @@
     plan.deadlines.EndBy(drain_deadline);
     plan.is_idempotent = route.is_idempotent;
     plan.max_attempts = route.max_attempts;
+    plan.priority = route.priority;
     std::size_t top_records = 0;
     if (route.fan_out) {
       plan.is_fan_out = true;
@@ -223,7 +242,65 @@
     } else {
       plan.targets = {this->service_choices[route.name].Choose(route.services)};
     }
+    PreparedCall call{
+        session,       std::move(request), std::move(caller_metadata),
+        table.version, std::move(plan),    top_records};
+    if (table.customers) {
+      this->Admit(table, std::make_shared<PreparedCall>(std::move(call)));
+    } else {
+      this->Begin(std::move(call), std::nullopt);
+    }
+  }
+
+  // Starts the call once the admission permits it.
+  void Admit(const RouteTable& table,
+             const std::shared_ptr<PreparedCall>& call) {
+    const auto wait = this->admission->Enter(
+        call->plan, table,
+        [weak = this->weak_from_this(), call](const GateDecision& decision) {
+          if (const auto self = weak.lock()) {
+            self->OnAdmissionDecided(*call, decision);
+          }
+        });
+    if (!wait) {
+      return;
+    }
+    this->calls[call->session.get()] = {
+        [self = this->shared_from_this(), call, wait] {
+          self->admission->Withdraw(wait);
+          self->calls.erase(call->session.get());
+          self->context.metrics.OnRefused("caller_gone");
+        },
+        [self = this->shared_from_this(), call, wait](MonotonicTime) {
+          self->admission->Withdraw(wait);
+          self->calls.erase(call->session.get());
+          self->Refuse(call->session, call->request, "stopping",
+                       {kStatusUnavailable, "this process is about to stop",
+                        Duration::zero()});
+        }};
+  }
+
+  void OnAdmissionDecided(PreparedCall& call, const GateDecision& decision) {
+    this->calls.erase(call.session.get());
+    if (const auto* permit = std::get_if<AdmissionPermit>(&decision)) {
+      this->Begin(std::move(call), *permit);
+      return;
+    }
+    const auto& refusal = std::get<Refusal>(decision);
+    this->Refuse(call.session, call.request, ToString(refusal.reason),
+                 {kStatusUnavailable, "capacity is short",
+                  refusal.retry_after.value_or(kBusyRetryAfter)});
+  }
+
+  // Starts a call. `permit` is absent if the admission is not used.
+  void Begin(PreparedCall call, const std::optional<AdmissionPermit>& permit) {
+    auto& [session, request, caller_metadata, version, plan, top_records] =
+        call;
     if (!this->links->HasRoomFor(plan.targets.size())) {
+      if (permit) {
+        // The capacity is then reduced, so that the room is divided fairly.
+        this->admission->Leave(*permit, Congestion::kOverload);
+      }
       this->Refuse(session, request, "too_many_sends",
                    {kStatusUnavailable, "too many requests are in progress",
                     kBusyRetryAfter});
@@ -231,10 +308,14 @@
     }
     CallerSide caller{
         session, caller_metadata.request, version, false,
-        [weak = this->weak_from_this(), session_key = session.get()] {
+        [weak = this->weak_from_this(), admission = this->admission, permit,
+         session_key = session.get()](Congestion congestion) {
           if (const auto self = weak.lock()) {
             self->calls.erase(session_key);
           }
+          if (permit) {
+            admission->Leave(*permit, congestion);
+          }
         }};
     EncodedRequest encoded{std::move(caller_metadata.request),
                            MessageCodec::MakeSendTemplate(request, {}),
@@ -308,6 +389,7 @@
   CallContext call_context;
   FanOutContext fan_out_context;
   std::shared_ptr<GroupQueryServer<MessageCodec>> query_server;
+  std::shared_ptr<CallAdmission> admission;
   MonotonicTime started_at;
   std::unordered_map<CallerSession*, CallHandle> calls;
   std::unordered_map<RouteName, WeightedChoice> service_choices;
--- a/src/policy/adaptive_capacity.cc
+++ b/src/policy/adaptive_capacity.cc
@@ -14,7 +14,6 @@
 // `kMinCompletions` requests ended.
 constexpr Duration kAdjustmentInterval = std::chrono::milliseconds(100);
 constexpr std::size_t kMinCompletions = 5;
-constexpr double kMinCapacity = 1;
 constexpr double kDecreaseFactor = 0.85;
 constexpr double kIncreaseFactor = 1.1;
 // The capacity grows to at most this many times the number of requests that ran
@@ -29,10 +28,29 @@
 
 }  // namespace
 
-AdaptiveCapacity::AdaptiveCapacity(std::uint32_t max_requests)
-    : max_capacity(std::max(max_requests, 1U)),
-      current_capacity(std::min(kInitialCapacity,
-                                static_cast<double>(this->max_capacity))) {}
+AdaptiveCapacity::AdaptiveCapacity(
+    const AdaptiveCapacitySettings& capacity_settings)
+    : settings(capacity_settings), current_capacity(kInitialCapacity) {
+  this->settings.max_capacity = std::max(this->settings.max_capacity, 1U);
+  this->settings.min_capacity =
+      std::clamp(this->settings.min_capacity, 1U, this->settings.max_capacity);
+  this->current_capacity =
+      this->Clamp(this->settings.lift_after ? this->settings.max_capacity
+                                            : kInitialCapacity);
+}
+
+double AdaptiveCapacity::Clamp(double capacity) const {
+  return std::clamp(capacity, static_cast<double>(this->settings.min_capacity),
+                    static_cast<double>(this->settings.max_capacity));
+}
+
+void AdaptiveCapacity::LiftIfDue(MonotonicTime now) {
+  if (this->overloaded_at && this->settings.lift_after &&
+      now - *this->overloaded_at >= *this->settings.lift_after) {
+    this->current_capacity = this->settings.max_capacity;
+    this->overloaded_at.reset();
+  }
+}
 
 void AdaptiveCapacity::OnComplete(MonotonicTime now,
                                   const Completion& completion) {
@@ -56,16 +74,15 @@
   if (this->overloaded_completions * 2 > this->completions) {
     this->current_capacity =
         std::min(this->current_capacity, peak_running) * kDecreaseFactor;
-  } else {
+    this->overloaded_at = now;
+  } else if (this->overloaded_at || !this->settings.lift_after) {
     const double target = std::max(peak_running * kHeadroomFactor, kMinTarget);
     this->current_capacity =
         this->current_capacity * kIncreaseFactor < target
             ? this->current_capacity * kIncreaseFactor
             : std::max(this->current_capacity / kIncreaseFactor, target);
   }
-  const auto upper_bound = static_cast<double>(this->max_capacity);
-  this->current_capacity = std::clamp(
-      this->current_capacity, std::min(kMinCapacity, upper_bound), upper_bound);
+  this->current_capacity = this->Clamp(this->current_capacity);
   this->completions = 0;
   this->overloaded_completions = 0;
   this->max_running = 0;
--- a/src/policy/adaptive_capacity.h
+++ b/src/policy/adaptive_capacity.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 
 #include "src/core/ids.h"
 #include "src/core/units.h"
@@ -11,6 +12,15 @@
 
 namespace marigold {
 
+struct AdaptiveCapacitySettings {
+  // The bounds of the capacity, at least 1.
+  std::uint32_t max_capacity = 1;
+  std::uint32_t min_capacity = 1;
+  // The capacity is `max_capacity` once no overload was found for this time. If
+  // absent, it always follows the number of requests that run.
+  std::optional<Duration> lift_after{};
+};
+
 // Adapts the number of requests that may run at the same time to the load of
 // the backend servers, so that queues do not grow there. The capacity is
 // reduced while more than half of the requests that end find overloaded
@@ -18,7 +28,7 @@
 // of requests that run.
 class AdaptiveCapacity {
  public:
-  explicit AdaptiveCapacity(std::uint32_t max_requests);
+  explicit AdaptiveCapacity(const AdaptiveCapacitySettings& capacity_settings);
 
   // Commands.
 
@@ -34,6 +44,9 @@
   // Records a request that ended, and adjusts the capacity if that is due.
   void OnComplete(MonotonicTime now, const Completion& completion);
 
+  // Sets the highest capacity if `lift_after` has passed since an overload.
+  void LiftIfDue(MonotonicTime now);
+
   // Queries.
 
   // The number of requests that may run at the same time, at least 1.
@@ -49,8 +62,10 @@
   };
 
   void Adjust(MonotonicTime now);
+  // Returns the capacity moved into the bounds of the settings.
+  double Clamp(double capacity) const;
 
-  std::uint32_t max_capacity;
+  AdaptiveCapacitySettings settings;
   double current_capacity;
   std::map<ServiceId, Service> services;
   // Counts since `interval_start`.
@@ -58,6 +73,8 @@
   std::size_t overloaded_completions = 0;
   std::uint32_t max_running = 0;
   MonotonicTime interval_start;
+  // Absent if no overload was found, or none since the capacity was lifted.
+  std::optional<MonotonicTime> overloaded_at;
 };
 
 }  // namespace marigold
--- a/src/policy/admission.cc
+++ b/src/policy/admission.cc
@@ -9,15 +9,8 @@
 
 // The inverse weight of the newest run time in the moving average.
 constexpr int kRunTimeMeanDivisor = 20;
-// The number of offers between two removals of idle customers.
+// The number of offers between two removals of idle flows.
 constexpr std::uint64_t kOffersPerIdleCheck = 4096;
-// The minimum retry delay that a refusal for overload or for the concurrency
-// limit tells the caller.
-constexpr Duration kMinRetryAfter = std::chrono::milliseconds(50);
-// A request is refused for its deadline only if the time left is less than the
-// median run time divided by this, because many requests run for less than the
-// median.
-constexpr int kRequiredRunTimeDivisor = 2;
 
 Refusal MakeRefusal(Reason reason, std::optional<Duration> retry_after) {
   return {Execution::kDidNotRun, reason, "", retry_after};
@@ -27,34 +20,43 @@
 
 Admission::Admission(AdmissionSettings admission_settings)
     : settings(admission_settings),
-      adaptive_capacity(admission_settings.max_capacity) {}
+      adaptive_capacity({admission_settings.max_capacity,
+                         admission_settings.min_capacity,
+                         admission_settings.capacity_lift_after}),
+      fair_share_limiter(admission_settings.fair_share) {}
 
 AdmissionDecision Admission::Offer(MonotonicTime now,
                                    const AdmissionOffer& offer) {
   if (++this->offer_count % kOffersPerIdleCheck == 0) {
-    this->RemoveIdleCustomers(now);
+    this->RemoveIdleFlows(now);
   }
-  Customer& customer = this->customers[offer.customer];
-  if (auto refusal = this->CheckLimits(now, offer, customer)) {
+  this->adaptive_capacity.LiftIfDue(now);
+  Request request{{offer.customer, offer.priority.level},
+                  offer.service,
+                  offer.deadline,
+                  0,
+                  {}};
+  Flow& flow = this->flows[request.flow];
+  if (auto refusal = this->CheckLimits(now, offer, flow)) {
     return *std::move(refusal);
   }
-  Request request{offer.customer, offer.service, offer.deadline, 0, {}};
-  request.start_tag = std::max(this->virtual_time, customer.last_finish_tag);
-  this->fair_share_limiter.OnOffer(now, offer.customer, offer.limits.weight);
-  if (this->fair_share_limiter.ExceedsAllowance(now, offer.customer)) {
-    customer.bucket.Refund();
-    return MakeRefusal(Reason::kOverloaded, kMinRetryAfter);
+  request.start_tag = std::max(this->virtual_time, flow.last_finish_tag);
+  this->fair_share_limiter.OnOffer(now, request.flow, offer.weight());
+  if (this->fair_share_limiter.ExceedsAllowance(now, request.flow)) {
+    flow.bucket.Refund();
+    return MakeRefusal(Reason::kOverloaded, this->settings.min_retry_after);
   }
   const bool can_run = this->queue.empty() &&
                        this->running_count < this->adaptive_capacity.capacity();
   if (!can_run) {
     if (auto refusal = this->CheckQueue(now, offer, request.start_tag)) {
-      customer.bucket.Refund();
+      flow.bucket.Refund();
       return *std::move(refusal);
     }
   }
-  customer.last_finish_tag =
-      request.start_tag + 1.0 / std::max(offer.limits.weight, 1U);
+  flow.last_finish_tag =
+      request.start_tag +
+      1.0 / this->fair_share_limiter.ShareWeight(now, request.flow);
   Request& stored_request = this->requests[offer.ticket] = std::move(request);
   if (can_run) {
     this->Start(now, stored_request);
@@ -66,18 +68,23 @@
 
 std::optional<Refusal> Admission::CheckLimits(MonotonicTime now,
                                               const AdmissionOffer& offer,
-                                              Customer& customer) {
-  const AdmissionLimits& limits = offer.limits;
+                                              Flow& flow) {
   if (now > this->LatestStart(offer.service, offer.deadline)) {
     return MakeRefusal(Reason::kDeadlineTooShort, std::nullopt);
   }
-  customer.bucket.Configure(now, limits.rate, limits.burst);
-  if (customer.running + customer.waiting >= limits.concurrency) {
-    return MakeRefusal(Reason::kConcurrencyLimited,
-                       std::max(this->mean_run_time, kMinRetryAfter));
+  flow.has_rate_limit = offer.limits.has_value();
+  if (!offer.limits) {
+    return std::nullopt;
   }
-  if (limits.rate.value() <= 0 || !customer.bucket.TryTake(now)) {
-    return MakeRefusal(Reason::kRateLimited, customer.bucket.TimeToNextToken());
+  const AdmissionLimits& limits = *offer.limits;
+  flow.bucket.Configure(now, limits.rate, limits.burst);
+  if (flow.running + flow.waiting >= limits.concurrency) {
+    return MakeRefusal(
+        Reason::kConcurrencyLimited,
+        std::max(this->mean_run_time, this->settings.min_retry_after));
+  }
+  if (limits.rate.value() <= 0 || !flow.bucket.TryTake(now)) {
+    return MakeRefusal(Reason::kRateLimited, flow.bucket.TimeToNextToken());
   }
   return std::nullopt;
 }
@@ -85,19 +92,29 @@
 std::optional<Refusal> Admission::CheckQueue(MonotonicTime now,
                                              const AdmissionOffer& offer,
                                              double start_tag) const {
-  const Duration wait = this->ExpectedWait(start_tag);
+  const Duration wait = this->ExpectedWait(start_tag, offer.priority.level);
   const bool queue_rejects_offer =
       this->queue.size() >= this->settings.max_queue_length &&
-      (this->queue.empty() || this->queue.rbegin()->first <= start_tag);
+      (this->queue.empty() || !this->GoesBeforeLast(start_tag, offer));
   if (queue_rejects_offer || wait > this->settings.max_wait ||
       now + wait > this->LatestStart(offer.service, offer.deadline)) {
-    return MakeRefusal(Reason::kOverloaded, std::max(wait, kMinRetryAfter));
+    return MakeRefusal(Reason::kOverloaded,
+                       std::max(wait, this->settings.min_retry_after));
   }
   return std::nullopt;
 }
 
-Duration Admission::ExpectedWait(double start_tag) const {
-  const auto first_behind = this->queue.lower_bound({start_tag, TicketId()});
+bool Admission::GoesBeforeLast(double start_tag,
+                               const AdmissionOffer& offer) const {
+  const auto& [last_tag, last_level, last_ticket] = *this->queue.rbegin();
+  return std::tie(start_tag, offer.priority.level) <
+         std::tie(last_tag, last_level);
+}
+
+Duration Admission::ExpectedWait(double start_tag,
+                                 std::uint32_t priority_level) const {
+  const auto first_behind =
+      this->queue.lower_bound({start_tag, priority_level, TicketId()});
   const auto requests_ahead =
       std::distance(this->queue.begin(), first_behind) + 1;
   return this->mean_run_time * requests_ahead /
@@ -107,23 +124,24 @@
 
 MonotonicTime Admission::LatestStart(const ServiceId& service,
                                      MonotonicTime deadline) const {
-  return deadline - this->adaptive_capacity.MedianRunTime(service) /
-                        kRequiredRunTimeDivisor;
+  const auto median = static_cast<double>(
+      this->adaptive_capacity.MedianRunTime(service).count());
+  return deadline - Duration(static_cast<Duration::rep>(
+                        median * this->settings.required_run_time.value()));
 }
 
 void Admission::Start(MonotonicTime now, const Request& request) {
-  Customer& customer = this->customers[request.customer];
   this->virtual_time = std::max(this->virtual_time, request.start_tag);
-  this->fair_share_limiter.OnStart(now, request.customer);
-  ++customer.running;
+  this->fair_share_limiter.OnStart(now, request.flow);
+  ++this->flows[request.flow].running;
   ++this->running_count;
 }
 
 void Admission::Enqueue(MonotonicTime now, TicketId ticket, Request& request) {
   if (this->queue.size() >= this->settings.max_queue_length) {
-    // Evicts the request with the highest start tag. It belongs to the customer
+    // Evicts the request with the highest start tag. It belongs to the flow
     // that is furthest ahead of its share.
-    const TicketId last_ticket = this->queue.rbegin()->second;
+    const TicketId last_ticket = std::get<TicketId>(*this->queue.rbegin());
     this->Dequeue(last_ticket, this->requests.at(last_ticket));
     this->requests.erase(last_ticket);
     this->evicted_tickets.push_back(last_ticket);
@@ -131,15 +149,16 @@
   request.expires_at =
       std::min(now + this->settings.max_wait,
                this->LatestStart(request.service, request.deadline));
-  this->queue.emplace(request.start_tag, ticket);
+  request.is_waiting = true;
+  this->queue.emplace(request.start_tag, request.flow.priority_level, ticket);
   this->tickets_by_expiry.emplace(request.expires_at, ticket);
-  ++this->customers[request.customer].waiting;
+  ++this->flows[request.flow].waiting;
 }
 
 void Admission::Dequeue(TicketId ticket, const Request& request) {
-  this->queue.erase({request.start_tag, ticket});
+  this->queue.erase({request.start_tag, request.flow.priority_level, ticket});
   this->tickets_by_expiry.erase({request.expires_at, ticket});
-  --this->customers[request.customer].waiting;
+  --this->flows[request.flow].waiting;
 }
 
 EndedWaits Admission::Complete(MonotonicTime now,
@@ -161,7 +180,25 @@
   this->adaptive_capacity.OnComplete(
       now, {request.service, run_time, congestion == Congestion::kOverload,
             this->running_count});
-  --this->customers[request.customer].running;
+  --this->flows[request.flow].running;
+  --this->running_count;
+  this->StartWaitingRequests(now, ended_waits);
+  return ended_waits;
+}
+
+EndedWaits Admission::Withdraw(MonotonicTime now, TicketId ticket) {
+  EndedWaits ended_waits;
+  const auto position = this->requests.find(ticket);
+  if (position == this->requests.end()) {
+    return ended_waits;
+  }
+  const Request request = std::move(position->second);
+  this->requests.erase(position);
+  if (request.is_waiting) {
+    this->Dequeue(ticket, request);
+    return ended_waits;
+  }
+  --this->flows[request.flow].running;
   --this->running_count;
   this->StartWaitingRequests(now, ended_waits);
   return ended_waits;
@@ -188,25 +225,26 @@
                                      EndedWaits& ended_waits) {
   while (!this->queue.empty() &&
          this->running_count < this->adaptive_capacity.capacity()) {
-    const TicketId ticket = this->queue.begin()->second;
+    const TicketId ticket = std::get<TicketId>(*this->queue.begin());
     Request& request = this->requests.at(ticket);
     if (request.expires_at <= now) {
       this->ExpireTicket(ticket, ended_waits);
       continue;
     }
     this->Dequeue(ticket, request);
+    request.is_waiting = false;
     this->Start(now, request);
     ended_waits.ready.push_back(ticket);
   }
 }
 
-void Admission::RemoveIdleCustomers(MonotonicTime now) {
+void Admission::RemoveIdleFlows(MonotonicTime now) {
   this->fair_share_limiter.RemoveIdle(now);
-  std::erase_if(this->customers, [this, now](const auto& item) {
-    const Customer& customer = item.second;
-    return customer.running == 0 && customer.waiting == 0 &&
-           customer.last_finish_tag <= this->virtual_time &&
-           customer.bucket.IsFull(now);
+  std::erase_if(this->flows, [this, now](const auto& item) {
+    const Flow& flow = item.second;
+    return flow.running == 0 && flow.waiting == 0 &&
+           flow.last_finish_tag <= this->virtual_time &&
+           (!flow.has_rate_limit || flow.bucket.IsFull(now));
   });
 }
 
--- a/src/policy/admission.h
+++ b/src/policy/admission.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <optional>
 #include <set>
+#include <tuple>
 #include <unordered_map>
 #include <utility>
 #include <variant>
@@ -14,6 +15,7 @@
 #include "src/core/verdict.h"
 #include "src/policy/adaptive_capacity.h"
 #include "src/policy/fair_share_limiter.h"
+#include "src/policy/request_priority.h"
 #include "src/policy/service_traffic.h"
 #include "src/policy/token_bucket.h"
 
@@ -38,9 +40,17 @@
   TicketId ticket;
   CustomerId customer;
   ServiceId service;
-  AdmissionLimits limits;
+  // Absent if neither the rate nor the concurrency of the customer is limited
+  // here.
+  std::optional<AdmissionLimits> limits;
   // The time at which the caller stops waiting.
   MonotonicTime deadline;
+  RequestPriority priority{};
+
+  // The weight of the request's share.
+  std::uint32_t weight() const {
+    return (this->limits ? this->limits->weight : 1) * this->priority.weight;
+  }
 };
 
 struct AdmissionSettings {
@@ -52,6 +62,18 @@
   // A request that has not started within this time is refused, so that its
   // caller learns early that it did not run.
   Duration max_wait = std::chrono::milliseconds(15);
+  // The adaptive capacity never falls below this number of requests.
+  std::uint32_t min_capacity = 1;
+  // The capacity is `max_capacity` once no overload was found for this time,
+  // however few requests run. If absent, it follows the number of requests.
+  std::optional<Duration> capacity_lift_after{};
+  // The fraction of the median run time that has to be left before the deadline
+  // when a request starts.
+  Fraction required_run_time{0.5};
+  // The shortest retry delay that a refusal for overload or for the concurrency
+  // limit tells the caller.
+  Duration min_retry_after = std::chrono::milliseconds(50);
+  FairShareSettings fair_share{};
 };
 
 // The request may start now.
@@ -74,7 +96,8 @@
 
 // Decides which requests run. Token buckets limit the request rate of each
 // customer, and a counter limits its concurrency. Start-time fair queueing
-// divides contended capacity between customers by weight. Not synchronised.
+// divides contended capacity between customers by weight. The requests of one
+// customer and priority form a flow. Not synchronised.
 class Admission {
  public:
   explicit Admission(AdmissionSettings admission_settings);
@@ -92,6 +115,10 @@
                       Duration run_time,
                       Congestion congestion = Congestion::kNone);
 
+  // Ends a request whose caller is gone, whether it waits or runs. Assigns
+  // capacity that this frees to waiting requests. An unknown ticket is ignored.
+  EndedWaits Withdraw(MonotonicTime now, TicketId ticket);
+
   // Removes waiting requests that have expired or were evicted, and returns
   // them. The caller calls this at `NextExpiry`.
   EndedWaits Expire(MonotonicTime now);
@@ -109,40 +136,51 @@
   }
   // The number of requests that may currently run at the same time.
   std::uint32_t capacity() const { return this->adaptive_capacity.capacity(); }
+  // True if flows that exceed their share are refused because of queues at the
+  // backend servers.
+  bool is_limiting_shares() const {
+    return this->fair_share_limiter.is_limiting();
+  }
 
  private:
-  struct Customer {
+  struct Flow {
     TokenBucket bucket;
+    bool has_rate_limit = false;
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
-    // The finish tag of the customer's newest request, in virtual time.
+    // The finish tag of the flow's newest request, in virtual time.
     double last_finish_tag = 0;
   };
 
   struct Request {
-    CustomerId customer;
+    FlowKey flow;
     ServiceId service;
     MonotonicTime deadline;
     // The start tag, in virtual time. Requests start in order of their tags.
     double start_tag = 0;
     // The time at which the request is refused if it has not started.
     MonotonicTime expires_at;
+    bool is_waiting = false;
   };
 
-  // The start tag and the ticket of a request.
-  using QueueKey = std::pair<double, TicketId>;
+  // The start tag, the priority level and the ticket of a request. Of requests
+  // with equal tags, the one of the highest priority starts first.
+  using QueueKey = std::tuple<double, std::uint32_t, TicketId>;
 
   // Returns a refusal if the deadline or the customer's limits do not permit
-  // the request. Otherwise takes a token from the customer's bucket.
+  // the request. Otherwise takes a token from the flow's bucket.
   std::optional<Refusal> CheckLimits(MonotonicTime now,
                                      const AdmissionOffer& offer,
-                                     Customer& customer);
+                                     Flow& flow);
   // Returns a refusal if the request cannot be queued or would wait too long.
   std::optional<Refusal> CheckQueue(MonotonicTime now,
                                     const AdmissionOffer& offer,
                                     double start_tag) const;
+  // True if the offer goes before the last request of the queue, which must not
+  // be empty.
+  bool GoesBeforeLast(double start_tag, const AdmissionOffer& offer) const;
   // The expected time in the queue of a request with this start tag.
-  Duration ExpectedWait(double start_tag) const;
+  Duration ExpectedWait(double start_tag, std::uint32_t priority_level) const;
   // The latest time at which a request of the service has to start to meet its
   // deadline.
   MonotonicTime LatestStart(const ServiceId& service,
@@ -155,12 +193,12 @@
   void ExpireTicket(TicketId ticket, EndedWaits& ended_waits);
   // Starts waiting requests while capacity is free.
   void StartWaitingRequests(MonotonicTime now, EndedWaits& ended_waits);
-  void RemoveIdleCustomers(MonotonicTime now);
+  void RemoveIdleFlows(MonotonicTime now);
 
   AdmissionSettings settings;
   AdaptiveCapacity adaptive_capacity;
   FairShareLimiter fair_share_limiter;
-  std::unordered_map<CustomerId, Customer> customers;
+  std::unordered_map<FlowKey, Flow, FlowKeyHash> flows;
   std::unordered_map<TicketId, Request> requests;
   std::set<QueueKey> queue;
   std::set<std::pair<MonotonicTime, TicketId>> tickets_by_expiry;
--- a/src/policy/fan_out/fan_out_types.cc
+++ b/src/policy/fan_out/fan_out_types.cc
@@ -14,7 +14,9 @@
                                           block.parts.end(), is_known);
                      }) &&
          std::all_of(report.failed.begin(), report.failed.end(), is_known) &&
-         std::all_of(report.late.begin(), report.late.end(), is_known);
+         std::all_of(report.late.begin(), report.late.end(), is_known) &&
+         report.congestion.queueing <= shard_count &&
+         report.congestion.overloaded <= shard_count;
 }
 
 }  // namespace marigold
--- a/src/policy/fan_out/fan_out_types.h
+++ b/src/policy/fan_out/fan_out_types.h
@@ -11,6 +11,7 @@
 #include "src/core/ids.h"
 #include "src/core/settings_values.h"
 #include "src/core/units.h"
+#include "src/policy/congestion_count.h"
 #include "src/policy/forward_types.h"
 
 namespace marigold {
@@ -114,6 +115,8 @@
   std::uint32_t sends = 0;
   // The number of queries that the aggregator works on.
   std::uint32_t calls_in_progress = 0;
+  // The shards whose servers are short of capacity, since the query began.
+  CongestionCount congestion;
   // True if no further report follows.
   bool is_final = false;
 
@@ -122,7 +125,7 @@
   template <class Archive>
   void serialize(Archive& archive) {
     archive(this->blocks, this->failed, this->late, this->sends,
-            this->calls_in_progress, this->is_final);
+            this->calls_in_progress, this->congestion, this->is_final);
   }
 };
 
--- a/src/policy/fan_out/grouped_search.h
+++ b/src/policy/fan_out/grouped_search.h
@@ -81,6 +81,7 @@
     }
     this->sends += report.sends - std::min(report.sends, query.reported_sends);
     query.reported_sends = std::max(report.sends, query.reported_sends);
+    query.congestion = report.congestion;
     for (PartBlock& block : report.blocks) {
       this->AddBlock(query, std::move(block));
     }
@@ -162,6 +163,15 @@
   ForwardState state() const { return this->current_state; }
   const PartSet& parts() const { return this->collected; }
   const ForwardPlan& request_plan() const { return this->plan; }
+  // How many shards have servers that are short of capacity, as far as reports
+  // have named them. A shard that was queried twice may count twice.
+  CongestionCount congestion() const {
+    CongestionCount sum;
+    for (const Query& query : this->queries) {
+      sum += query.congestion;
+    }
+    return sum;
+  }
   // The number of sends to backend servers that the reports have named.
   std::size_t send_count() const { return this->sends; }
   // True if a server may have run the request.
@@ -181,6 +191,8 @@
     std::vector<bool> is_shard_open;
     std::uint32_t attempts = 1;
     std::uint32_t reported_sends = 0;
+    // As the newest report states it.
+    CongestionCount congestion;
     MonotonicTime started_at;
     bool is_open = true;
     bool has_reported = false;
--- a/src/policy/forwarding.h
+++ b/src/policy/forwarding.h
@@ -11,6 +11,7 @@
 #include "src/core/random.h"
 #include "src/core/units.h"
 #include "src/policy/backend_directory.h"
+#include "src/policy/congestion_count.h"
 #include "src/policy/fan_out/search_outcome.h"
 #include "src/policy/forward_timing.h"
 #include "src/policy/forward_types.h"
@@ -88,6 +89,7 @@
     if (!target.is_answered) {
       target.is_answered = true;
       ++this->answered_count;
+      this->queueing_targets += load && load->waiting > 0 ? 1 : 0;
       if (target.in_flight > 0) {
         this->CancelOthers(now, send.target, steps);
       }
@@ -121,8 +123,10 @@
     if (CertainlyDidNotRun(failure)) {
       --target.possible_runs;
     }
-    target.found_full_server =
-        target.found_full_server || failure == SendFailure::kNotExecuted;
+    if (failure == SendFailure::kNotExecuted) {
+      target.found_full_server = true;
+      ++target.full_servers;
+    }
     if (failure == SendFailure::kNotConnected ||
         failure == SendFailure::kUnreachable) {
       // The server received nothing, so the next send is not a retry.
@@ -173,6 +177,15 @@
   ForwardState state() const { return this->current_state; }
   std::size_t answered_targets() const { return this->answered_count; }
   std::size_t send_count() const { return this->sends.size(); }
+  // How many targets have servers that are short of capacity.
+  CongestionCount congestion() const {
+    CongestionCount count{this->queueing_targets, 0};
+    for (const Target& target : this->targets) {
+      count.overloaded +=
+          IsTargetOverloaded(target.full_servers, target.is_answered) ? 1 : 0;
+    }
+    return count;
+  }
   const ForwardPlan& request_plan() const { return this->plan; }
   const AttemptTiming& attempt_timing() const { return this->timing; }
   bool IsAnswered(std::size_t target) const {
@@ -216,6 +229,8 @@
     std::uint32_t possible_runs = 0;
     // True if a server had no room for the request in this round.
     bool found_full_server = false;
+    // The number of sends that a server had no room for, in all rounds.
+    std::uint32_t full_servers = 0;
     // The number of rounds over all servers after the first round. Each of them
     // began because no server had accepted the request.
     std::uint32_t rounds = 0;
@@ -389,6 +404,8 @@
   std::vector<Target> targets;
   std::vector<Send> sends;
   std::size_t answered_count = 0;
+  // The number of targets whose answer came from a server with a queue.
+  std::uint32_t queueing_targets = 0;
   // True once a send has failed or found no server, so that targets may be
   // exhausted.
   bool may_have_exhausted_targets = false;
--- a/src/policy/service_traffic.cc
+++ b/src/policy/service_traffic.cc
@@ -26,6 +26,18 @@
 
 }  // namespace
 
+std::string_view ToString(Congestion congestion) {
+  switch (congestion) {
+    case Congestion::kNone:
+      return "none";
+    case Congestion::kQueueing:
+      return "queueing";
+    case Congestion::kOverload:
+      return "overload";
+  }
+  return "unknown";
+}
+
 ServiceTraffic::ServiceTraffic(const TrafficSettings& traffic_settings)
     : settings(traffic_settings),
       hedge_token_budget(
--- a/src/policy/service_traffic.h
+++ b/src/policy/service_traffic.h
@@ -2,6 +2,7 @@
 #define SRC_POLICY_SERVICE_TRAFFIC_H_
 
 #include <optional>
+#include <string_view>
 
 #include "src/core/units.h"
 #include "src/policy/latency_digest.h"
@@ -30,6 +31,9 @@
   kOverload,
 };
 
+// Stable text for logs and metrics, such as "queueing".
+std::string_view ToString(Congestion congestion);
+
 // Tracks what one entry process observes of the sub-requests of one service,
 // and holds the token budgets for hedged requests and retries.
 class ServiceTraffic {
--- a/src/programs/forward_admin.cc
+++ b/src/programs/forward_admin.cc
@@ -35,6 +35,7 @@
   } else if (request.path == "/metrics") {
     this->sources.metrics.SetListsConfirmedAge(
         this->sources.lists_confirmed_age());
+    this->sources.metrics.SetAdmission(this->sources.admission_status());
     response.body = this->sources.metrics.Render();
   } else if (request.path == "/state") {
     response.content_type = "application/json";
@@ -72,15 +73,20 @@
 
 std::string ForwardAdmin::StateJson() const {
   const auto routes = this->sources.lists.Routes();
+  const AdmissionStatus admission = this->sources.admission_status();
   return fmt::format(R"({{"routes_version":{},"lists_confirmed_age_ms":{:.0f},)"
                      R"("listed_servers":{},"listing_age_ms":{:.0f},)"
-                     R"("connections":{},"leaving":{}}})",
+                     R"("connections":{},"leaving":{},)"
+                     R"("admission_running":{},"admission_waiting":{},)"
+                     R"("admission_capacity":{},"shares_limited":{}}})",
                      routes ? routes->table().version.value() : 0,
                      ToMilliseconds(this->sources.lists_confirmed_age()),
                      this->sources.listing.Servers()->size(),
                      ListingAgeMs(this->sources.listing, this->clock.Now()),
                      this->sources.open_connections(),
-                     this->sources.lifecycle.phase() != ProcessPhase::kServing);
+                     this->sources.lifecycle.phase() != ProcessPhase::kServing,
+                     admission.running, admission.waiting, admission.capacity,
+                     admission.is_limiting_shares);
 }
 
 }  // namespace marigold
--- a/src/programs/forward_admin.h
+++ b/src/programs/forward_admin.h
@@ -31,6 +31,8 @@
   // Returns false while it is not certain which routes are in force.
   std::function<bool()> are_routes_known;
   std::function<std::size_t()> open_connections;
+  // Returns what the admission of requests holds.
+  std::function<AdmissionStatus()> admission_status;
   // Returns the time since the lists were last confirmed as the newest.
   std::function<Duration()> lists_confirmed_age;
 };
--- a/src/programs/forward_components.cc
+++ b/src/programs/forward_components.cc
@@ -5,6 +5,7 @@
 
 #include "src/core/clock.h"
 #include "src/core/random.h"
+#include "src/policy/forward_admission.h"
 
 namespace marigold {
 
@@ -62,6 +63,13 @@
   return client;
 }
 
+AdmissionSettings ToForwardAdmissionSettings(const ForwardSettings& settings) {
+  AdmissionSettings admission = ForwardAdmissionSettings();
+  admission.max_capacity = static_cast<std::uint32_t>(settings.max_requests);
+  admission.max_wait = FromSeconds(settings.admission_wait_ms / 1'000);
+  return admission;
+}
+
 StrandLimits ToStrandLimits(const ForwardSettings& settings) {
   const std::int64_t memory_part = MemoryPart(settings);
   const auto share_of_strand = [&](std::int64_t total) {
--- a/src/programs/forward_components.h
+++ b/src/programs/forward_components.h
@@ -17,6 +17,7 @@
 DirectorySettings ToDirectorySettings(const ForwardSettings& settings);
 FanOutSettings ToFanOutSettings(const ForwardSettings& settings);
 ControlClientSettings ToControlSettings(const ForwardSettings& settings);
+AdmissionSettings ToForwardAdmissionSettings(const ForwardSettings& settings);
 StrandLimits ToStrandLimits(const ForwardSettings& settings);
 
 // The number of connections that callers may have open.
--- a/src/programs/forward_process.h
+++ b/src/programs/forward_process.h
@@ -41,6 +41,10 @@
                     DataCentreId(process_settings.data_centre),
                     ToFanOutSettings(process_settings)),
         pool(process_settings.workers),
+        gate(std::make_shared<ForwardGate>(
+            ToForwardAdmissionSettings(process_settings),
+            pool,
+            clock)),
         control(pool, lists, listing, ToControlSettings(process_settings)),
         seeds_file(pool,
                    process_settings.seeds_file,
@@ -53,6 +57,7 @@
         answers({settings, lists, listing, backends, metrics, lifecycle,
                  [this] { return this->knows_routes(); },
                  [this] { return this->caller_listener->open_connections(); },
+                 [this] { return this->gate->Status(); },
                  [this] { return this->control.lists_confirmed_age(); }}) {}
 
   ForwardProcess(const ForwardProcess&) = delete;
@@ -108,7 +113,8 @@
                                 this->metrics,
                                 [this] { return this->knows_routes(); },
                                 this->lifecycle,
-                                ToStrandLimits(this->settings)};
+                                ToStrandLimits(this->settings),
+                                this->gate};
     std::vector<std::shared_ptr<Strand>> strands;
     for (std::int64_t i = 0; i < this->settings.workers; ++i) {
       strands.push_back(std::make_shared<Strand>(this->pool));
@@ -306,6 +312,7 @@
   Lifecycle lifecycle;
   std::atomic<std::size_t> undrained_strands = 0;
   WorkerPool pool;
+  std::shared_ptr<ForwardGate> gate;
   ControlClient control;
   SeedsFile seeds_file;
   ForwardAdmin answers;
--- a/src/programs/forward_settings.cc
+++ b/src/programs/forward_settings.cc
@@ -16,6 +16,14 @@
   table.AddNumber("connections", settings.max_connections, 1, 1'000'000,
                   "connections",
                   "Maximum number of open connections of callers.");
+  table.AddNumber("requests-in-progress", settings.max_requests, 1, 1'000'000,
+                  "requests",
+                  "Maximum number of requests in progress if the configuration "
+                  "has customers. Further requests wait or are refused.");
+  table.AddDecimal("admission-wait-ms", settings.admission_wait_ms, 0, 10'000,
+                   "ms",
+                   "Maximum time that a request waits for capacity before it "
+                   "is refused.");
   table.AddNumber("open-files", settings.max_open_files, 400, 1'000'000,
                   "descriptors",
                   "Descriptors that the process may open. All but 300 are for "
--- a/src/programs/forward_settings.h
+++ b/src/programs/forward_settings.h
@@ -37,6 +37,11 @@
   Endpoint server_list{"127.0.0.1", 7300};
   std::int64_t workers = 1;
   std::int64_t max_connections = 2'000;
+  // The maximum number of requests in progress if the configuration has
+  // customers.
+  std::int64_t max_requests = 256;
+  // The maximum time that a request waits for capacity, in milliseconds.
+  double admission_wait_ms = 100;
   // The descriptors that the process may open.
   std::int64_t max_open_files = 4'300;
   std::int64_t max_reply_bytes = 4 * 1024 * 1024;
--- a/src/tables/admission_table.h
+++ b/src/tables/admission_table.h
@@ -29,6 +29,32 @@
   { state.waiting() } -> std::same_as<std::uint32_t>;
 };
 
+// An admission policy that also learns how busy the backend servers are, and
+// that releases requests whose callers are gone.
+template <class T>
+concept CongestionAwarePolicy = AdmissionPolicy<T> &&
+    requires(T& policy,
+             const T& state,
+             MonotonicTime now,
+             TicketId ticket,
+             Duration run_time,
+             Congestion congestion) {
+  {
+    policy.Complete(now, ticket, run_time, congestion)
+    } -> std::same_as<EndedWaits>;
+  { policy.Withdraw(now, ticket) } -> std::same_as<EndedWaits>;
+  { state.capacity() } -> std::same_as<std::uint32_t>;
+  { state.is_limiting_shares() } -> std::same_as<bool>;
+};
+
+// What the admission holds at one moment.
+struct AdmissionStatus {
+  std::uint32_t running = 0;
+  std::uint32_t waiting = 0;
+  std::uint32_t capacity = 0;
+  bool is_limiting_shares = false;
+};
+
 // A request whose wait has ended. The receiver must call `on_wait_ended` with
 // `may_run` while it holds no lock. `may_run` is false if the deadline passed
 // before the request could run.
@@ -70,6 +96,26 @@
     return this->TakeEndedWaits(this->policy.Complete(now, ticket, run_time));
   }
 
+  // The same with the congestion that the request met at backend servers.
+  std::vector<EndedWait> Complete(MonotonicTime now,
+                                  TicketId ticket,
+                                  Duration run_time,
+                                  Congestion congestion) requires
+      CongestionAwarePolicy<Policy> {
+    const RankedLock lock(this->mutex);
+    return this->TakeEndedWaits(
+        this->policy.Complete(now, ticket, run_time, congestion));
+  }
+
+  // Ends a request whose caller is gone. Its callback is not returned any more.
+  // Returns the requests whose wait ends because of it.
+  std::vector<EndedWait> Withdraw(MonotonicTime now, TicketId ticket) requires
+      CongestionAwarePolicy<Policy> {
+    const RankedLock lock(this->mutex);
+    this->wait_callbacks.erase(ticket);
+    return this->TakeEndedWaits(this->policy.Withdraw(now, ticket));
+  }
+
   // Returns the requests whose deadline has passed. Must be called at the time
   // that `NextExpiry` returns.
   std::vector<EndedWait> Expire(MonotonicTime now) {
@@ -96,6 +142,12 @@
     return this->policy.waiting();
   }
 
+  AdmissionStatus Status() const requires CongestionAwarePolicy<Policy> {
+    const RankedLock lock(this->mutex);
+    return {this->policy.running(), this->policy.waiting(),
+            this->policy.capacity(), this->policy.is_limiting_shares()};
+  }
+
  private:
   std::vector<EndedWait> TakeEndedWaits(const EndedWaits& ended_tickets) {
     std::vector<EndedWait> ended_waits;
--- a/src/tables/forward_metrics.cc
+++ b/src/tables/forward_metrics.cc
@@ -15,6 +15,13 @@
   return prometheus::BuildCounter().Name(name).Help(help).Register(registry);
 }
 
+prometheus::Gauge& AddGauge(prometheus::Registry& registry,
+                            const std::string& name,
+                            const std::string& help) {
+  return prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add(
+      {});
+}
+
 // Bucket bounds in seconds, which cover the target latencies of the routes in
 // use.
 const prometheus::Histogram::BucketBoundaries kLatencyBuckets{
@@ -36,6 +43,20 @@
       refusals(AddCounterFamily(*registry,
                                 "marigold_forward_refusals_total",
                                 "Requests refused before any send, by cause.")),
+      congestions(AddCounterFamily(
+          *registry,
+          "marigold_forward_congestion_total",
+          "Ended requests whose backend servers were short of capacity.")),
+      admission_running(
+          AddGauge(*registry,
+                   "marigold_forward_admission_running",
+                   "Requests that the admission counts as running.")),
+      admission_waiting(AddGauge(*registry,
+                                 "marigold_forward_admission_waiting",
+                                 "Requests that wait for capacity.")),
+      admission_capacity(AddGauge(*registry,
+                                  "marigold_forward_admission_capacity",
+                                  "Requests that may run at the same time.")),
       group_queries(AddCounterFamily(
           *registry,
           "marigold_group_queries_total",
@@ -84,6 +105,16 @@
   this->refusals.Add({{"cause", std::string(reason)}}).Increment();
 }
 
+void ForwardMetrics::OnCongestion(std::string_view degree) {
+  this->congestions.Add({{"degree", std::string(degree)}}).Increment();
+}
+
+void ForwardMetrics::SetAdmission(const AdmissionStatus& status) {
+  this->admission_running.Set(status.running);
+  this->admission_waiting.Set(status.waiting);
+  this->admission_capacity.Set(status.capacity);
+}
+
 void ForwardMetrics::SetListsConfirmedAge(Duration age) {
   this->lists_confirmed_age.Set(ToSeconds(age));
 }
--- a/src/tables/forward_metrics.h
+++ b/src/tables/forward_metrics.h
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "src/core/units.h"
+#include "src/tables/admission_table.h"
 
 namespace marigold {
 
@@ -25,6 +26,11 @@
   void OnSend(bool is_repeated);
   void OnSendFailure(std::string_view failure);
   void OnRefused(std::string_view reason);
+  // A request has ended that met congestion at backend servers. `degree` is a
+  // stable text such as "queueing".
+  void OnCongestion(std::string_view degree);
+  // Sets the numbers of requests that the admission holds and permits.
+  void SetAdmission(const AdmissionStatus& status);
   void OnPartialAnswer();
   // A server said something about itself. `kind` is a stable text such as
   // "pause".
@@ -46,6 +52,10 @@
   prometheus::Family<prometheus::Counter>& sends;
   prometheus::Family<prometheus::Counter>& failures;
   prometheus::Family<prometheus::Counter>& refusals;
+  prometheus::Family<prometheus::Counter>& congestions;
+  prometheus::Gauge& admission_running;
+  prometheus::Gauge& admission_waiting;
+  prometheus::Gauge& admission_capacity;
   prometheus::Family<prometheus::Counter>& group_queries;
   prometheus::Family<prometheus::Counter>& server_notices;
   prometheus::Gauge& lists_confirmed_age;
--- a/src/wire/fan_out_messages.cc
+++ b/src/wire/fan_out_messages.cc
@@ -10,7 +10,7 @@
 
 // Increased with each change of the format, so that VMs of different releases
 // refuse each other's messages instead of misreading them.
-constexpr std::uint16_t kFormatVersion = 1;
+constexpr std::uint16_t kFormatVersion = 2;
 
 struct VersionedMessage {
   std::uint16_t version = kFormatVersion;
--- a/tests/forwarding_test.cc
+++ b/tests/forwarding_test.cc
@@ -62,6 +62,11 @@
         this->forwarding->OnAnswer(this->now, SendId(send), std::nullopt));
   }
 
+  void AnswerWithQueue(std::size_t send, std::uint32_t waiting) {
+    this->CountSteps(this->forwarding->OnAnswer(
+        this->now, SendId(send), ReportedLoad{4, waiting, 4}));
+  }
+
   void Fail(std::size_t send, SendFailure failure) {
     this->CountSteps(
         this->forwarding->OnFailure(this->now, SendId(send), failure));
@@ -132,6 +137,44 @@
     {SendFailure::kServerError, true, 2, ForwardState::kRunning},
 };
 
+struct CongestionRow {
+  const char* guards_against;
+  void (*events)(ForwardingFixture&);
+  CongestionCount expected;
+};
+
+// What a request to two shards reports about their servers.
+const CongestionRow kCongestionRows[] = {
+    {"busy servers without a queue that count as congestion",
+     [](ForwardingFixture& fixture) {
+       fixture.AnswerWithQueue(0, 0);
+       fixture.AnswerWithQueue(1, 0);
+     },
+     {0, 0}},
+    {"a queue that is overlooked",
+     [](ForwardingFixture& fixture) { fixture.AnswerWithQueue(1, 3); },
+     {1, 0}},
+    {"one full server that counts although another took the request",
+     [](ForwardingFixture& fixture) {
+       fixture.Fail(0, SendFailure::kNotExecuted);
+       fixture.Answer(2);
+     },
+     {0, 0}},
+    {"several full servers of a shard that are overlooked",
+     [](ForwardingFixture& fixture) {
+       fixture.Fail(0, SendFailure::kNotExecuted);
+       fixture.Fail(2, SendFailure::kNotExecuted);
+       fixture.Answer(3);
+     },
+     {0, 1}},
+    {"a broken connection that counts as a full server",
+     [](ForwardingFixture& fixture) {
+       fixture.Fail(0, SendFailure::kConnectionLost);
+       fixture.Fail(2, SendFailure::kConnectionLost);
+     },
+     {0, 0}},
+};
+
 struct CoverageRow {
   // The number of shards that have answered, out of ten.
   std::size_t answered_shards;
@@ -390,4 +433,20 @@
                fixture.send_count);
 }
 
+ParameterizedTestParameters(Forwarding, ReportsCongestion) {
+  return RowIndices(kCongestionRows);
+}
+
+ParameterizedTest(std::size_t* index, Forwarding, ReportsCongestion) {
+  const CongestionRow& row = kCongestionRows[*index];
+  ForwardingFixture fixture(2);
+  fixture.Start();
+  row.events(fixture);
+  const CongestionCount actual = fixture.forwarding->congestion();
+  cr_assert(actual == row.expected,
+            "guards against %s: expected %u/%u, actual %u/%u",
+            row.guards_against, row.expected.queueing, row.expected.overloaded,
+            actual.queueing, actual.overloaded);
+}
+
 }  // namespace marigold
