--- a/src/net/forward/forwarder.h
+++ b/src/net/forward/forwarder.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string_view>
 #include <unordered_map>
 #include <utility>
@@ -11,6 +12,7 @@
 
 #include "src/net/fan_out/group_query_server.h"
 #include "src/net/fan_out/grouped_call.h"
+#include "src/net/forward/call_admission.h"
 #include "src/net/forward/forwarded_call.h"
 #include "src/net/forward/quota_check.h"
 #include "src/policy/forward_timing.h"
@@ -42,6 +44,8 @@
   std::function<bool()> are_routes_known;
   const Lifecycle& lifecycle;
   StrandLimits limits;
+  // Used only if the route table has customers.
+  std::shared_ptr<ForwardGate> gate;
 };
 
 // Takes the requests of one strand, finds the route of each and starts a call.
@@ -61,6 +65,9 @@
                         std::make_shared<AggregatorLinks>(strand)},
         query_server(
             std::make_shared<GroupQueryServer<MessageCodec>>(call_context)),
+        admission(std::make_shared<CallAdmission>(strand,
+                                                  forward_context.gate,
+                                                  forward_context.metrics)),
         started_at(strand->Now()) {}
 
   CallerHandlers CreateHandlers() {
@@ -157,6 +164,21 @@
     std::function<void(MonotonicTime end)> end_by;
   };
 
+  // A request whose route and sender are known, and which its customer's quota
+  // permits.
+  struct PreparedCall {
+    SessionPtr session;
+    CallerRequest request;
+    CallerMetadata caller;
+    SenderIdentity identity;
+    RouteVersion routes_version;
+    ForwardPlan plan;
+    std::size_t top_records = 0;
+    // Takes the use of the quota back. Must be called if the request is sent
+    // nowhere.
+    std::function<void()> refund_quota;
+  };
+
   // A longer request is sent by this process alone, because each aggregator
   // would get a copy.
   static constexpr std::size_t kMaxGroupedRequestBytes = 16 * 1024;
@@ -211,7 +233,7 @@
     const Identification identification =
         routes->Identify(*route, caller_metadata.key);
     if (const auto* identity = std::get_if<RequestIdentity>(&identification)) {
-      this->Forward(session, *route, routes->table().version, *identity,
+      this->Forward(session, *route, routes->table(), *identity,
                     std::move(caller_metadata), std::move(request));
     } else {
       this->Refuse(session, request, "unknown_key",
@@ -222,7 +244,7 @@
 
   void Forward(const SessionPtr& session,
                const Route& route,
-               RouteVersion version,
+               const RouteTable& table,
                const RequestIdentity& identity,
                CallerMetadata caller_metadata,
                CallerRequest request) {
@@ -259,32 +281,102 @@
     } else {
       plan.targets = {this->service_choices[route.name].Choose(route.services)};
     }
+    if (const auto refusal = CheckQuota(this->context.quotas, plan, now)) {
+      this->Refuse(session, request, "over_quota", *refusal);
+      return;
+    }
+    auto refund_quota = QuotaRefund(this->context.quotas, plan);
+    PreparedCall call{session,
+                      std::move(request),
+                      std::move(caller_metadata),
+                      {identity.is_managed, identity.customer},
+                      table.version,
+                      std::move(plan),
+                      top_records,
+                      std::move(refund_quota)};
+    if (table.customers) {
+      this->Admit(table, std::make_shared<PreparedCall>(std::move(call)));
+    } else {
+      this->Begin(std::move(call), std::nullopt);
+    }
+  }
+
+  // Starts the call once the admission permits it.
+  void Admit(const RouteTable& table,
+             const std::shared_ptr<PreparedCall>& call) {
+    const auto wait = this->admission->Enter(
+        call->plan, table,
+        [weak = this->weak_from_this(), call](const GateDecision& decision) {
+          if (const auto self = weak.lock()) {
+            self->OnAdmissionDecided(*call, decision);
+          }
+        });
+    if (!wait) {
+      return;
+    }
+    this->calls[call->session.get()] = {
+        [self = this->shared_from_this(), call, wait] {
+          self->admission->Withdraw(wait);
+          self->calls.erase(call->session.get());
+          call->refund_quota();
+          self->context.metrics.OnRefused("caller_gone");
+        },
+        [self = this->shared_from_this(), call, wait](MonotonicTime) {
+          self->admission->Withdraw(wait);
+          self->calls.erase(call->session.get());
+          call->refund_quota();
+          self->Refuse(call->session, call->request, "stopping",
+                       {kStatusUnavailable, "this process is about to stop",
+                        Duration::zero()});
+        }};
+  }
+
+  void OnAdmissionDecided(PreparedCall& call, const GateDecision& decision) {
+    this->calls.erase(call.session.get());
+    if (const auto* permit = std::get_if<AdmissionPermit>(&decision)) {
+      this->Begin(std::move(call), *permit);
+      return;
+    }
+    const auto& refusal = std::get<Refusal>(decision);
+    call.refund_quota();
+    this->Refuse(call.session, call.request, ToString(refusal.reason),
+                 {kStatusUnavailable, "capacity is short",
+                  refusal.retry_after.value_or(kBusyRetryAfter)});
+  }
+
+  // Starts a call. `permit` is absent if the admission is not used.
+  void Begin(PreparedCall call, const std::optional<AdmissionPermit>& permit) {
+    auto& [session, request, caller_metadata, identity, version, plan,
+           top_records, refund_quota] = call;
     if (!this->links->HasRoomFor(plan.targets.size())) {
+      if (permit) {
+        // The capacity is then reduced, so that the room is divided fairly.
+        this->admission->Leave(*permit, Congestion::kOverload);
+      }
+      refund_quota();
       this->Refuse(session, request, "too_many_sends",
                    {kStatusUnavailable, "too many requests are in progress",
                     kBusyRetryAfter});
       return;
     }
-    if (const auto refusal = CheckQuota(this->context.quotas, plan, now)) {
-      this->Refuse(session, request, "over_quota", *refusal);
-      return;
-    }
     CallerSide caller{
         session,
         caller_metadata.request,
         version,
         false,
-        [weak = this->weak_from_this(), session_key = session.get()] {
+        [weak = this->weak_from_this(), admission = this->admission, permit,
+         session_key = session.get()](Congestion congestion) {
           if (const auto self = weak.lock()) {
             self->calls.erase(session_key);
           }
+          if (permit) {
+            admission->Leave(*permit, congestion);
+          }
         },
-        QuotaRefund(this->context.quotas, plan)};
-    EncodedRequest encoded{
-        std::move(caller_metadata.request),
-        MessageCodec::MakeSendTemplate(
-            request, {identity.is_managed, identity.customer}),
-        request.method() == boost::beast::http::verb::head};
+        std::move(refund_quota)};
+    EncodedRequest encoded{std::move(caller_metadata.request),
+                           MessageCodec::MakeSendTemplate(request, identity),
+                           request.method() == boost::beast::http::verb::head};
     if (this->UsesGroups(plan, encoded)) {
       this->StartCall(
           std::make_shared<GroupedCall<MessageCodec>>(
@@ -354,6 +446,7 @@
   CallContext call_context;
   FanOutContext fan_out_context;
   std::shared_ptr<GroupQueryServer<MessageCodec>> query_server;
+  std::shared_ptr<CallAdmission> admission;
   MonotonicTime started_at;
   std::unordered_map<CallerSession*, CallHandle> calls;
   std::unordered_map<RouteName, WeightedChoice> service_choices;
--- a/src/programs/forward_admin.cc
+++ b/src/programs/forward_admin.cc
@@ -36,6 +36,7 @@
   } else if (request.path == "/metrics") {
     this->sources.metrics.SetListsConfirmedAge(
         this->sources.lists_confirmed_age());
+    this->sources.metrics.SetAdmission(this->sources.admission_status());
     response.body =
         this->sources.metrics.Render() +
         QuotaMetricsText(this->sources.quotas.Summary(this->clock.Now()));
@@ -84,33 +85,49 @@
       gate.state_age ? ToMilliseconds(*gate.state_age) : -1.0);
 }
 
-std::string ForwardAdmin::StateJson() const {
+std::string ForwardAdmin::AdmissionJson() const {
+  const AdmissionStatus admission = this->sources.admission_status();
+  return fmt::format(R"("admission_running":{},"admission_waiting":{},)"
+                     R"("admission_capacity":{},"shares_limited":{})",
+                     admission.running, admission.waiting, admission.capacity,
+                     admission.is_limiting_shares);
+}
+
+std::string ForwardAdmin::EvacuatedJson() const {
+  std::string names;
+  for (const DataCentreId& id : this->sources.lists.Evacuated()) {
+    names += (names.empty() ? "" : ",") + QuoteJson(id.value());
+  }
+  return "[" + names + "]";
+}
+
+std::string ForwardAdmin::ListsJson() const {
   const auto routes = this->sources.lists.Routes();
   const std::size_t customers = routes && routes->table().customers
                                     ? routes->table().customers->size()
                                     : 0;
+  return fmt::format(R"("routes_version":{},"customers":{},"lists_index":{},)"
+                     R"("lists_confirmed_age_ms":{:.0f})",
+                     routes ? routes->table().version.value() : 0, customers,
+                     this->sources.lists.index().value(),
+                     ToMilliseconds(this->sources.lists_confirmed_age()));
+}
+
+std::string ForwardAdmin::StateJson() const {
+  const MonotonicTime now = this->clock.Now();
   const std::size_t held_back =
       this->sources.backends.Access([&](const BackendDirectory& directory) {
-        return directory.CountHeldBack(this->clock.Now());
+        return directory.CountHeldBack(now);
       });
-  std::string evacuated;
-  for (const DataCentreId& id : this->sources.lists.Evacuated()) {
-    evacuated += (evacuated.empty() ? "" : ",") + QuoteJson(id.value());
-  }
-  return fmt::format(R"({{"routes_version":{},"customers":{},)"
-                     R"("lists_confirmed_age_ms":{:.0f},)"
-                     R"("listed_servers":{},"listing_age_ms":{:.0f},)"
-                     R"("connections":{},"leaving":{},"quotas":{},)"
-                     R"("lists_index":{},"held_back_servers":{},)"
-                     R"("evacuated":[{}]}})",
-                     routes ? routes->table().version.value() : 0, customers,
-                     ToMilliseconds(this->sources.lists_confirmed_age()),
-                     this->sources.listing.Servers()->size(),
-                     ListingAgeMs(this->sources.listing, this->clock.Now()),
+  return fmt::format(R"({{{},"listed_servers":{},"listing_age_ms":{:.0f},)"
+                     R"("connections":{},"leaving":{},"held_back_servers":{},)"
+                     R"("evacuated":{},{},"quotas":{}}})",
+                     this->ListsJson(), this->sources.listing.Servers()->size(),
+                     ListingAgeMs(this->sources.listing, now),
                      this->sources.open_connections(),
                      this->sources.lifecycle.phase() != ProcessPhase::kServing,
-                     this->QuotasJson(), this->sources.lists.index().value(),
-                     held_back, evacuated);
+                     held_back, this->EvacuatedJson(), this->AdmissionJson(),
+                     this->QuotasJson());
 }
 
 }  // namespace marigold
--- a/src/programs/forward_admin.h
+++ b/src/programs/forward_admin.h
@@ -33,6 +33,8 @@
   // Returns false while it is not certain which routes are in force.
   std::function<bool()> are_routes_known;
   std::function<std::size_t()> open_connections;
+  // Returns what the admission of requests holds.
+  std::function<AdmissionStatus()> admission_status;
   // Returns the time since the lists were last confirmed as the newest.
   std::function<Duration()> lists_confirmed_age;
 };
@@ -52,6 +54,11 @@
   // that callers are sent to another data centre. Logs each change.
   bool SomeRouteIsUnservable();
   std::string StateJson() const;
+  // Members of the state's JSON object.
+  std::string ListsJson() const;
+  std::string AdmissionJson() const;
+  // Values of members of the state's JSON object.
+  std::string EvacuatedJson() const;
   std::string QuotasJson() const;
 
   ForwardAdminSources sources;
--- a/src/programs/forward_process.h
+++ b/src/programs/forward_process.h
@@ -42,6 +42,10 @@
                     ToFanOutSettings(process_settings)),
         quotas(VmId(process_settings.vm), lists),
         pool(process_settings.workers),
+        gate(std::make_shared<ForwardGate>(
+            ToForwardAdmissionSettings(process_settings),
+            pool,
+            clock)),
         control(pool, lists, listing, ToControlSettings(process_settings)),
         seeds_file(pool,
                    process_settings.seeds_file,
@@ -54,6 +58,7 @@
         answers({settings, lists, listing, backends, quotas, metrics, lifecycle,
                  [this] { return this->knows_routes(); },
                  [this] { return this->caller_listener->open_connections(); },
+                 [this] { return this->gate->Status(); },
                  [this] { return this->control.lists_confirmed_age(); }}) {}
 
   ForwardProcess(const ForwardProcess&) = delete;
@@ -113,7 +118,8 @@
         this->lists,       this->backends,
         this->aggregators, this->quotas,
         this->metrics,     [this] { return this->knows_routes(); },
-        this->lifecycle,   ToStrandLimits(this->settings)};
+        this->lifecycle,   ToStrandLimits(this->settings),
+        this->gate};
     std::vector<std::shared_ptr<Strand>> strands;
     for (std::int64_t i = 0; i < this->settings.workers; ++i) {
       strands.push_back(std::make_shared<Strand>(this->pool));
@@ -424,6 +430,7 @@
   std::atomic<ListingHash> applied_listing{};
   std::atomic<std::size_t> undrained_strands = 0;
   WorkerPool pool;
+  std::shared_ptr<ForwardGate> gate;
   ControlClient control;
   SeedsFile seeds_file;
   ForwardAdmin answers;
