Test that a removed key stays refused after the loss of a disk

Cause: platform_customers.sh covered restarts of control VMs, but not a lost disk.

Change: control VM 1 loses its data folder, and votes with a new disk before all control VMs restart and the leader is frozen.

--- a/tests/process/platform_customers.sh
+++ b/tests/process/platform_customers.sh
@@ -150,6 +150,16 @@
   within $recovery_ms "control VM $i follows its group after a restart" follows_group $i
 done
 for i in 1 2; do expect_only_second $i "after the restart of each control VM"; done
+kill_process c1
+rm -r "$work/c1"
+start_control 1 false
+# The group tolerates one loss; the next one has to wait until the new disk votes.
+all_vote() {
+  "$bin/marigoldctl" --controls=$net.1:7100,$net.2:7100,$net.3:7100 status >"$work/status"
+  [ "$(grep -cE '^c[123] .* voter +(yes|no) +ok' "$work/status")" = 3 ]
+}
+within $recovery_ms "control VM 1 votes with a new disk" all_vote
+for i in 1 2; do expect_only_second $i "after the loss of a disk"; done
 for i in 1 2 3; do kill_process c$i; done
 kill_process e1
 for i in 1 2 3; do start_control $i false; done
