--- a/src/policy/fan_out/fan_out_types.h
+++ b/src/policy/fan_out/fan_out_types.h
@@ -115,17 +115,17 @@
   std::uint32_t sends = 0;
   // The number of queries that the aggregator works on.
   std::uint32_t calls_in_progress = 0;
-  // The shards whose servers are short of capacity, since the query began.
-  CongestionCount congestion;
   // True if no further report follows.
   bool is_final = false;
+  // The shards whose servers are short of capacity, since the query began.
+  CongestionCount congestion{};
 
   bool operator==(const GroupReport&) const = default;
 
   template <class Archive>
   void serialize(Archive& archive) {
     archive(this->blocks, this->failed, this->late, this->sends,
-            this->calls_in_progress, this->congestion, this->is_final);
+            this->calls_in_progress, this->is_final, this->congestion);
   }
 };
 
--- a/tests/fan_out_messages_test.cc
+++ b/tests/fan_out_messages_test.cc
@@ -122,6 +122,9 @@
     {{{{{{2, "s"}}, ""}}, {}, {}, 0, 0, false}, false},
     {{{}, {{2, 0, false}}, {}, 0, 0, false}, false},
     {{{}, {}, {{2, BackendServerId("x")}}, 0, 0, false}, false},
+    {{{}, {}, {}, 0, 0, false, {2, 2}}, true},
+    {{{}, {}, {}, 0, 0, false, {3, 0}}, false},
+    {{{}, {}, {}, 0, 0, false, {0, 3}}, false},
 };
 
 }  // namespace
@@ -130,7 +133,8 @@
   return RowIndices(kReportRows);
 }
 
-// Guards against a report that names a shard which the query does not have.
+// Guards against a report that names a shard which the query does not have, or
+// counts more shards than it has.
 ParameterizedTest(std::size_t* index, GroupReport, PositionsAreChecked) {
   const ReportRow& row = kReportRows[*index];
   cr_assert_eq(IsValidReport(row.report, 2), row.expected, "row %zu", *index);
--- a/tests/grouped_search_test.cc
+++ b/tests/grouped_search_test.cc
@@ -186,6 +186,26 @@
   cr_assert_neq(fixture.search->state(), ForwardState::kRunning);
 }
 
+// Guards against a root that does not learn that servers have no room, or that
+// counts a shard again with each report.
+Test(GroupedSearch, RootLearnsTheCongestionOfItsQueries) {
+  GroupedSearchFixture fixture(kShards);
+  fixture.Start();
+  cr_assert(fixture.queries.size() >= 2, "expected several queries, actual %zu",
+            fixture.queries.size());
+  GroupReport report;
+  report.congestion = {1, 0};
+  fixture.Report(0, report);
+  report.congestion = {2, 1};
+  fixture.Report(0, report);
+  report.congestion = {1, 1};
+  fixture.Report(1, report);
+  const CongestionCount actual = fixture.search->congestion();
+  const CongestionCount expected{3, 2};
+  cr_assert(actual == expected, "expected 3/2, actual %u/%u", actual.queueing,
+            actual.overloaded);
+}
+
 // Guards against a report that arrives after its query has ended and changes
 // the outcome.
 Test(GroupedSearch, ReportOfAnEndedQueryIsIgnored) {
