--- a/src/policy/quota/quota_coordinator.cc
+++ b/src/policy/quota/quota_coordinator.cc
@@ -37,8 +37,7 @@
 
 // How much of an average rate is left after a time without requests.
 double Decay(Duration elapsed) {
-  return std::exp2(-ToSeconds(elapsed) /
-                   ToSeconds(DecayingCount::kDefaultHalfLife));
+  return std::exp2(-ToSeconds(elapsed) / ToSeconds(kQuotaAverageHalfLife));
 }
 
 // The size of a customer's bucket.
--- a/src/policy/quota/quota_gate.cc
+++ b/src/policy/quota/quota_gate.cc
@@ -170,7 +170,11 @@
     const double rate =
         std::max(kQuotaLocalFactor * customer.rate_before, fallback_rate);
     // All VMs may enter this phase at once, so the bucket does not start full.
-    const double initial_tokens = 1 + customer.rate_before;
+    // A VM with a large share of a customer's use gets as much of the margin.
+    const double share =
+        std::min(customer.rate_before / customer.limit.rate.value(), 1.0);
+    const double initial_tokens =
+        1 + customer.rate_before + share * kQuotaBurstMargin;
     customer.local_bucket.Configure(now, RatePerSecond(rate),
                                     2 * initial_tokens);
     customer.local_bucket.DropAbove(initial_tokens);
--- a/src/policy/quota/quota_gate.h
+++ b/src/policy/quota/quota_gate.h
@@ -107,7 +107,7 @@
     Fraction ratio{1};
     // Fraction of a request that the ratio allows beyond those admitted.
     double credit = 0;
-    DecayingCount admitted_average;
+    DecayingCount admitted_average{kQuotaAverageHalfLife};
     DecayingCount recent_admitted{kQuotaRecentHalfLife};
     // The admitted rate when the last state arrived.
     double rate_before = 0;
--- a/src/policy/quota/quota_types.h
+++ b/src/policy/quota/quota_types.h
@@ -46,6 +46,10 @@
 inline constexpr Duration kQuotaRecentHalfLife =
     std::chrono::milliseconds(1'400);
 
+// Half-life of the average of the rate that a gate admits, which bounds its
+// local limits.
+inline constexpr Duration kQuotaAverageHalfLife = std::chrono::seconds(7);
+
 // The use of one customer through one entry process. The counts begin at 0 with
 // the process and wrap around.
 struct QuotaUsage {
--- a/tests/quota_fleet.h
+++ b/tests/quota_fleet.h
@@ -47,6 +47,9 @@
   Duration restarted{};
   // The longest delay of a state on its way to an entry VM.
   Duration state_delay = std::chrono::milliseconds(30);
+  // The fraction of requests within the quota that may be refused at VMs that
+  // are not in contact or while there is no leader.
+  double max_local_loss = 1;
 };
 
 // Connects entry VMs with the leader of a control group by delayed messages.
--- a/tests/quota_fleet_test.cc
+++ b/tests/quota_fleet_test.cc
@@ -47,7 +47,8 @@
      .leaderless = {milliseconds(15'000), milliseconds(16'000)}},
     {.description = "no leader for 4 s",
      .surge = kSurge,
-     .leaderless = {milliseconds(16'000), milliseconds(20'000)}},
+     .leaderless = {milliseconds(16'000), milliseconds(20'000)},
+     .max_local_loss = 0.2},
     {.description = "the leader is frozen and wakes",
      .surge = kSurge,
      .leaderless = {milliseconds(15'000), milliseconds(17'000)},
@@ -57,7 +58,8 @@
      .cut_off = {seconds(14), seconds(20)}},
     {.description = "cut off in the surge",
      .surge = kSurge,
-     .cut_off = {seconds(17), seconds(23)}},
+     .cut_off = {seconds(17), seconds(23)},
+     .max_local_loss = 0.25},
     {.description = "cut off on all VMs",
      .surge = kSurge,
      .uses_all_vms = true,
@@ -128,6 +130,8 @@
     fleet.Run();
     std::size_t offered = 0;
     std::size_t refused = 0;
+    std::size_t offered_locally = 0;
+    std::size_t refused_locally = 0;
     for (std::size_t i = 0; i < fleet.outcomes().size(); ++i) {
       const QuotaFleet::Outcome& outcome = fleet.outcomes()[i];
       const bool is_over = i == load.surge_customer && IsOverQuota(load);
@@ -138,7 +142,15 @@
                 outcome.customer.customer.value().c_str(), excess);
       offered += is_over ? 0 : outcome.offered_in_contact;
       refused += is_over ? 0 : outcome.refused_in_contact;
+      offered_locally +=
+          is_over ? 0 : outcome.offered - outcome.offered_in_contact;
+      refused_locally +=
+          is_over ? 0 : outcome.refused - outcome.refused_in_contact;
     }
+    cr_expect(static_cast<double>(refused_locally) <=
+                  load.max_local_loss * static_cast<double>(offered_locally),
+              "%s, seed %lu: %zu of %zu requests refused out of contact",
+              load.description, seed, refused_locally, offered_locally);
     cr_expect(
         static_cast<double>(refused) <= kMaxLoss * static_cast<double>(offered),
         "%s, seed %lu: %zu of %zu requests within the quota refused",
