--- a/src/policy/quota/quota_coordinator.h
+++ b/src/policy/quota/quota_coordinator.h
@@ -22,24 +22,6 @@
   RatePerSecond offered;
   // What is reserved for entry VMs that are silent.
   RatePerSecond reserved;
-
-  template <class Archive>
-  void save(Archive& archive) const {
-    archive(this->customer, this->limit, this->ratio.value(), this->level,
-            this->offered.value(), this->reserved.value());
-  }
-
-  template <class Archive>
-  void load(Archive& archive) {
-    double ratio_value = 0;
-    double offered_value = 0;
-    double reserved_value = 0;
-    archive(this->customer, this->limit, ratio_value, this->level,
-            offered_value, reserved_value);
-    this->ratio = Fraction(ratio_value);
-    this->offered = RatePerSecond(offered_value);
-    this->reserved = RatePerSecond(reserved_value);
-  }
 };
 
 // Measures the use of all customers with a quota over all entry VMs, and
