Share the function that scales a duration

Cause: tools/bench had a copy, and the call became ambiguous. Change: the one of core/units.h is used; platform_quotas.sh gets an address range of its own.

--- a/tests/process/platform_quotas.sh
+++ b/tests/process/platform_quotas.sh
@@ -3,7 +3,7 @@
 # while some customer has a quota, also after the leader was killed, and that
 # none are sent before.
 set -euo pipefail
-base=127.63
+base=127.65
 . "$(dirname "$0")/../platform/system.sh"
 
 tenants='"Tenants":[{"Name":"shop","ApiKeys":["key-1"],"RatePerS":20,"Burst":20}],'
--- a/tools/bench/fake_server.cc
+++ b/tools/bench/fake_server.cc
@@ -17,11 +17,6 @@
   return a.free_at > b.free_at;
 }
 
-Duration Scale(Duration duration, double factor) {
-  return Duration(static_cast<std::int64_t>(
-      static_cast<double>(duration.count()) * factor));
-}
-
 }  // namespace
 
 FakeServer::FakeServer(FakeServerSettings server_settings,
