Let a customer use its whole quota

Cause: the coordinator distributed 0.95 of the rate and averaged what is offered over 0.5 s, so that a surge got 376 of the 381 requests that its quota allows, and requests within the quota were refused.

--- a/src/policy/quota/quota_types.h
+++ b/src/policy/quota/quota_types.h
@@ -22,10 +22,6 @@
 // bound on the use of a customer allows 20.
 inline constexpr double kQuotaBurstMargin = 10;
 
-// The part of the rate that is distributed. The rest makes up for use that is
-// reported late.
-inline constexpr double kQuotaUsableRate = 0.95;
-
 // How long a state is fresh, and the longest interval between two states. A
 // surge that begins when the coordinator is lost stays unnoticed until the
 // state is no longer fresh.
