Notice surges over a quota sooner; hedge only groups early

Change: the average covers 0.15 s, the bucket has 5 tokens more than the burst, 0.95 of the rate is distributed again. The 85th percentile is used for groups only. A refusal logs its customer.

--- a/src/net/fan_out/group_call.h
+++ b/src/net/fan_out/group_call.h
@@ -43,7 +43,7 @@
     const AttemptTiming timing =
         this->context.backends.Access([&](BackendDirectory& directory) {
           return ComputeAttemptTiming(directory, plan.route, plan.deadlines,
-                                      kFanOutHedgeQuantile);
+                                      kGroupHedgeQuantile);
         });
     // The run itself goes on until the root gives up. Only the reports follow
     // the time at which the root wants to answer.
--- a/src/net/forward/forwarder.h
+++ b/src/net/forward/forwarder.h
@@ -282,7 +282,7 @@
       plan.targets = {this->service_choices[route.name].Choose(route.services)};
     }
     if (const auto refusal = CheckQuota(this->context.quotas, plan, now)) {
-      this->Refuse(session, request, "over_quota", *refusal);
+      this->Refuse(session, request, "over_quota", *refusal, plan.customer);
       return;
     }
     auto refund_quota = QuotaRefund(this->context.quotas, plan);
@@ -341,7 +341,8 @@
     call.refund_quota();
     this->Refuse(call.session, call.request, ToString(refusal.reason),
                  {kStatusUnavailable, "capacity is short",
-                  refusal.retry_after.value_or(kBusyRetryAfter)});
+                  refusal.retry_after.value_or(kBusyRetryAfter)},
+                 call.plan.customer);
   }
 
   // Starts a call. `permit` is absent if the admission is not used.
@@ -418,11 +419,14 @@
     }
   }
 
+  // `customer` is absent if the request has none or is refused before it is
+  // identified.
   void Refuse(const SessionPtr& session,
               const CallerRequest& request,
               std::string_view reason,
-              const LocalAnswer& answer) {
-    this->LogRefusal(request, answer.status, reason);
+              const LocalAnswer& answer,
+              const std::optional<CustomerId>& customer = std::nullopt) {
+    this->LogRefusal(request, answer.status, reason, customer);
     const bool closes_connection = session->MustClose();
     session->Answer(MessageCodec::WriteLocalAnswer(answer, closes_connection),
                     closes_connection);
@@ -430,7 +434,8 @@
 
   void LogRefusal(const CallerRequest& request,
                   int status,
-                  std::string_view reason) {
+                  std::string_view reason,
+                  const std::optional<CustomerId>& customer = std::nullopt) {
     this->context.metrics.OnRefused(reason);
     const auto routes = this->context.lists.Routes();
     LogEvent(
@@ -438,6 +443,7 @@
         {{"request", MessageCodec::ReadCaller(request).request.value()},
          {"status", status},
          {"reason", reason},
+         {"customer", customer ? customer->value() : "none"},
          {"routes_version", routes ? routes->table().version.value() : 0}});
   }
 
--- a/src/policy/forward_timing.h
+++ b/src/policy/forward_timing.h
@@ -59,11 +59,12 @@
   std::optional<Duration> hedge;
 };
 
-// The quantiles that `LatencyQuantiles` holds. The slowest of many shards
-// decides when a fan-out is answered, so its attempts are hedged earlier.
+// The quantiles that `LatencyQuantiles` holds. A group is a part of a fan-out
+// over many shards, whose slowest one decides when it is answered, so its
+// attempts are hedged earlier.
 inline constexpr Fraction kTypicalQuantile{0.5};
 inline constexpr Fraction kHedgeQuantile{0.93};
-inline constexpr Fraction kFanOutHedgeQuantile{0.85};
+inline constexpr Fraction kGroupHedgeQuantile{0.85};
 
 // Computes the hedge delay of attempts with these latencies.
 AttemptTiming ComputeAttemptTiming(const LatencyQuantiles& latencies,
--- a/src/policy/forwarding.h
+++ b/src/policy/forwarding.h
@@ -52,9 +52,8 @@
       return steps;
     }
     this->timing = this->table.Access([&](BackendDirectory& directory) {
-      return ComputeAttemptTiming(
-          directory, this->plan.route, this->plan.deadlines,
-          this->plan.is_fan_out ? kFanOutHedgeQuantile : kHedgeQuantile);
+      return ComputeAttemptTiming(directory, this->plan.route,
+                                  this->plan.deadlines, kHedgeQuantile);
     });
     for (std::size_t i = 0; i < this->targets.size(); ++i) {
       if (this->plan.earns_retries) {
--- a/src/policy/quota/quota_coordinator.cc
+++ b/src/policy/quota/quota_coordinator.cc
@@ -11,10 +11,10 @@
 namespace {
 
 // Time constant of the average offered rate.
-constexpr double kOfferedMeanSeconds = 0.3;
+constexpr double kOfferedMeanSeconds = 0.15;
 
 // A level above or below zero is used up or repaid in about this time.
-constexpr double kLevelSeconds = 0.5;
+constexpr double kLevelSeconds = 1;
 
 // A VM that reports nothing for this long uses its local limits.
 constexpr Duration kSilence = std::chrono::seconds(1);
@@ -181,9 +181,10 @@
 
 void QuotaCoordinator::Refill(Duration elapsed) {
   for (auto& [id, customer] : this->customers) {
-    customer.level = std::min(
-        customer.level + customer.limit.rate.value() * ToSeconds(elapsed),
-        MaxLevel(customer.limit));
+    customer.level =
+        std::min(customer.level + customer.limit.rate.value() *
+                                      kQuotaUsableRate * ToSeconds(elapsed),
+                 MaxLevel(customer.limit));
     customer.offered_count *=
         std::exp(-ToSeconds(elapsed) / kOfferedMeanSeconds);
     customer.reserved_rate = 0;
@@ -218,7 +219,8 @@
       std::max(1 - std::exp(-age / kOfferedMeanSeconds), 0.1);
   for (auto& [id, customer] : this->customers) {
     const double offered_rate = customer.offered_count / mean_seconds;
-    const double rate = customer.limit.rate.value() - customer.reserved_rate;
+    const double rate =
+        customer.limit.rate.value() * kQuotaUsableRate - customer.reserved_rate;
     const double allowed_rate =
         std::max(rate + customer.level / kLevelSeconds, 0.0);
     customer.ratio =
--- a/src/policy/quota/quota_types.h
+++ b/src/policy/quota/quota_types.h
@@ -20,7 +20,11 @@
 // Requests beyond the burst that the quota of a customer allows at once. They
 // let a customer of a low rate send several requests in quick succession. The
 // bound on the use of a customer allows 20.
-inline constexpr double kQuotaBurstMargin = 10;
+inline constexpr double kQuotaBurstMargin = 5;
+
+// The part of the rate that is distributed. The rest makes up for use that is
+// reported late.
+inline constexpr double kQuotaUsableRate = 0.95;
 
 // How long a state is fresh, and the longest interval between two states. A
 // surge that begins when the coordinator is lost stays unnoticed until the
