--- a/src/net/forward/backend_link_replies.cc
+++ b/src/net/forward/backend_link_replies.cc
@@ -26,6 +26,18 @@
 // no longer used.
 constexpr double kIdleTimeoutFraction = 0.8;
 
+// The first status code that HTTP defines. A server in trouble may send a lower
+// one, such as 000, which is no reply at all.
+constexpr unsigned kMinStatus = 100;
+// The server would speak another protocol from here on, which was not asked
+// for.
+constexpr unsigned kStatusSwitchingProtocols = 101;
+constexpr unsigned kMinFinalStatus = 200;
+
+bool IsValidStatus(unsigned status) {
+  return status >= kMinStatus && status != kStatusSwitchingProtocols;
+}
+
 // Returns the seconds of a Keep-Alive field such as "timeout=5", or nothing if
 // the field states no timeout.
 std::optional<std::int64_t> ParseKeepAliveTimeout(std::string_view field) {
@@ -156,7 +168,11 @@
   BackendReply reply = this->parser->release();
   this->parser.reset();
   this->ReleaseReplyBytes();
-  const bool is_interim = reply.result_int() < 200;
+  if (!IsValidStatus(reply.result_int())) {
+    this->Fail(SendFailure::kBadAnswer);
+    return;
+  }
+  const bool is_interim = reply.result_int() < kMinFinalStatus;
   const bool is_expected =
       !is_interim && this->exchange && this->exchange->is_expected(reply);
   if (!is_expected && this->socket.is_open()) {
