Admit the quota of a customer when quotas are introduced

Change: for 2 s such a gate applies the quota alone. A process that starts with quotas applies the fallback share as before.

Result: a new case of quota_table_test; 16 of 16 and quota_fleet_test 25 of 25 pass.

--- a/src/policy/quota/quota_gate.cc
+++ b/src/policy/quota/quota_gate.cc
@@ -28,6 +28,10 @@
 // Credit that other limits leave unused is kept for the next request only.
 constexpr double kMaxCredit = 2;
 
+// When the first quota comes into force, the coordinator starts and the first
+// state arrives within this time. Use before that was not limited either.
+constexpr Duration kIntroductionTime = std::chrono::seconds(2);
+
 constexpr Duration kMinRetryAfter = std::chrono::milliseconds(100);
 constexpr Duration kMaxRetryAfter = std::chrono::seconds(3);
 
@@ -84,6 +88,8 @@
 
 void QuotaGate::SetCustomers(MonotonicTime now,
                              const std::vector<RoutedCustomer>& routed) {
+  const bool had_no_quotas = this->is_configured && this->customers.empty();
+  this->is_configured = true;
   Customers previous = std::exchange(this->customers, {});
   for (const RoutedCustomer& row : routed) {
     if (row.quota.is_unlimited()) {
@@ -101,6 +107,9 @@
     customer.quota_bucket.Configure(now, row.quota.rate,
                                     row.quota.burst + kQuotaBurstMargin);
   }
+  if (had_no_quotas && !this->customers.empty()) {
+    this->introduced_at = now;
+  }
 }
 
 bool QuotaGate::Apply(MonotonicTime now, const QuotaState& state) {
@@ -155,7 +164,10 @@
       return {QuotaVerdict::kOverRatio, RetryAfterOf(customer.ratio)};
     }
   }
-  const bool uses_local_limit = phase != QuotaPhase::kFresh;
+  const bool is_introduced = phase == QuotaPhase::kUnknown &&
+                             this->introduced_at &&
+                             now < *this->introduced_at + kIntroductionTime;
+  const bool uses_local_limit = phase != QuotaPhase::kFresh && !is_introduced;
   if (uses_local_limit && !customer.local_bucket.TryTake(now)) {
     return {QuotaVerdict::kOverLocalLimit, RetryAfterOf(customer.local_bucket)};
   }
--- a/src/policy/quota/quota_gate.h
+++ b/src/policy/quota/quota_gate.h
@@ -132,6 +132,10 @@
   SeededRandom random;
   Customers customers;
   Fraction limit_share;
+  // True after the first `SetCustomers`.
+  bool is_configured = false;
+  // When the first quota came into force while the process was running.
+  std::optional<MonotonicTime> introduced_at;
   std::optional<QuotaState> newest_state;
   // When the newest state was current.
   MonotonicTime state_at;
--- a/tests/quota_table_test.cc
+++ b/tests/quota_table_test.cc
@@ -139,6 +139,17 @@
   cr_expect_eq(fixture.CountAdmitted(100), 1 + kMargin);
 }
 
+// Guards against refusals of a customer whose quota has just been introduced,
+// before the first state arrives, and against a gate that goes on without one.
+Test(QuotaTable, AdmitsTheQuotaWhenItIsIntroduced) {
+  Fixture fixture({});
+  cr_expect_eq(fixture.CountAdmitted(100), 100);
+  fixture.SetCustomers({Customer("shop", 10, 30)});
+  cr_expect_eq(fixture.CountAdmitted(100), 30 + kMargin);
+  fixture.now += seconds(10);
+  cr_expect_eq(fixture.CountAdmitted(100), 1);
+}
+
 // Guards against a state of a former leader that takes effect.
 Test(QuotaTable, DropsOlderStates) {
   Fixture fixture({Customer("shop", 100, 100)});
