--- a/src/programs/forward_process.h
+++ b/src/programs/forward_process.h
@@ -113,6 +113,7 @@
     this->lists.OnApplied([this] {
       this->ApplyEvacuation();
       this->ApplyColdRates();
+      this->quotas.FollowLists(this->clock.Now());
     });
     const ForwardContext shared{
         this->lists,       this->backends,
--- a/src/tables/quota_table.cc
+++ b/src/tables/quota_table.cc
@@ -47,6 +47,12 @@
   return decision;
 }
 
+void QuotaTable::FollowLists(MonotonicTime now) {
+  auto routes = this->lists.Routes();
+  const RankedLock lock(this->mutex);
+  this->FollowRoutes(now, std::move(routes));
+}
+
 void QuotaTable::GiveBack(const CustomerId& customer) {
   const RankedLock lock(this->mutex);
   this->gate.GiveBack(customer);
--- a/src/tables/quota_table.h
+++ b/src/tables/quota_table.h
@@ -30,6 +30,10 @@
 
   // Commands.
 
+  // Applies the customers of the routes in force. Must be called when the lists
+  // have changed, so that the gate knows since when there are quotas.
+  void FollowLists(MonotonicTime now);
+
   // Sets the callback that arranges for a call of `TakeReport` at the given
   // time. It runs on any worker. Must be called before the first request.
   void SetReportHandler(std::function<void(MonotonicTime at)> handler);
