Share the loop that replaces the customers with a quota

Cause: the quota gate and the coordinator had the same loop that keeps the entries of customers whose quota stays, and the comment of CheckQuota said that it is the last check, which it is no longer.

Change: detail::ReplaceLimitedCustomers serves both; the comment states what a later refusal has to do. Behaviour is unchanged.

--- a/src/net/forward/quota_check.h
+++ b/src/net/forward/quota_check.h
@@ -11,8 +11,8 @@
 namespace marigold {
 
 // Counts a request against the quota of its customer. Returns the answer that
-// refuses it, or nothing if it is admitted. Must be the last check before the
-// request is started, so that only requests that are sent are counted.
+// refuses it, or nothing if it is admitted. If the request is refused later for
+// another reason, the function that `QuotaRefund` returns must be called.
 std::optional<LocalAnswer> CheckQuota(QuotaTable& quotas,
                                       const ForwardPlan& plan,
                                       MonotonicTime now);
--- a/src/policy/quota/quota_coordinator.cc
+++ b/src/policy/quota/quota_coordinator.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "src/policy/decaying_count.h"
+#include "src/policy/quota/limited_customers.h"
 
 namespace marigold {
 
@@ -55,22 +56,15 @@
 
 void QuotaCoordinator::SetCustomers(MonotonicTime now,
                                     const std::vector<RoutedCustomer>& routed) {
-  auto previous = std::exchange(this->customers, {});
-  for (const RoutedCustomer& row : routed) {
-    if (row.quota.is_unlimited()) {
-      continue;
-    }
-    auto node = previous.extract(row.customer);
-    const bool is_new = node.empty();
-    Customer& customer =
-        is_new ? this->customers[row.customer]
-               : this->customers.insert(std::move(node)).position->second;
-    customer.limit = row.quota;
-    const double initial_level =
-        this->is_starting(now) ? kQuotaBurstMargin : MaxLevel(row.quota);
-    customer.level =
-        is_new ? initial_level : std::min(customer.level, MaxLevel(row.quota));
-  }
+  detail::ReplaceLimitedCustomers(
+      routed, this->customers,
+      [&](Customer& customer, const RoutedCustomer& row, bool is_new) {
+        customer.limit = row.quota;
+        const double initial_level =
+            this->is_starting(now) ? kQuotaBurstMargin : MaxLevel(row.quota);
+        customer.level = is_new ? initial_level
+                                : std::min(customer.level, MaxLevel(row.quota));
+      });
 }
 
 void QuotaCoordinator::OnReport(MonotonicTime now,
--- a/src/policy/quota/quota_gate.cc
+++ b/src/policy/quota/quota_gate.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "src/policy/quota/limited_customers.h"
+
 namespace marigold {
 
 namespace {
@@ -90,23 +92,16 @@
                              const std::vector<RoutedCustomer>& routed) {
   const bool had_no_quotas = this->is_configured && this->customers.empty();
   this->is_configured = true;
-  Customers previous = std::exchange(this->customers, {});
-  for (const RoutedCustomer& row : routed) {
-    if (row.quota.is_unlimited()) {
-      continue;
-    }
-    auto node = previous.extract(row.customer);
-    const bool is_new = node.empty();
-    Customer& customer =
-        is_new ? this->customers[row.customer]
-               : this->customers.insert(std::move(node)).position->second;
-    if (is_new) {
-      customer.credit = this->random.NextDouble();
-    }
-    customer.limit = row.quota;
-    customer.quota_bucket.Configure(now, row.quota.rate,
-                                    row.quota.burst + kQuotaBurstMargin);
-  }
+  detail::ReplaceLimitedCustomers(
+      routed, this->customers,
+      [&](Customer& customer, const RoutedCustomer& row, bool is_new) {
+        if (is_new) {
+          customer.credit = this->random.NextDouble();
+        }
+        customer.limit = row.quota;
+        customer.quota_bucket.Configure(now, row.quota.rate,
+                                        row.quota.burst + kQuotaBurstMargin);
+      });
   if (had_no_quotas && !this->customers.empty()) {
     this->introduced_at = now;
   }
