--- a/review/common-2/system.h
+++ b/review/common-2/system.h
@@ -514,25 +514,16 @@
   // Uses addresses in 127.A.B.0/24 and ports that are free now.
   System(std::string work_folder, int entry_count, int control_count)
       : folder(std::move(work_folder)) {
-    std::mt19937 random(static_cast<unsigned>(::getpid()) * 7919U +
-                        static_cast<unsigned>(std::chrono::system_clock::now()
-                                                  .time_since_epoch()
-                                                  .count()));
-    this->net = Text("127.%u.%u.", static_cast<unsigned>(64 + random() % 128),
-                     static_cast<unsigned>(random() % 250));
-    this->front_port = 21000 + static_cast<int>(random() % 9000);
-    this->ready_port = this->front_port + 1;
-    this->control_port = this->front_port + 2;
-    this->internal_port = this->front_port + 4;
-    this->list_place = {this->net + "250", this->front_port + 3};
-    for (int i = 0; i < control_count; ++i) {
-      this->controls.push_back({this->net + std::to_string(1 + i),
-                                this->control_port});
-    }
-    for (int i = 0; i < entry_count; ++i) {
-      this->entries.push_back({this->net + std::to_string(20 + i),
-                               this->front_port});
-    }
+    std::random_device random;
+    constexpr int kTries = 20;
+    int tries = 0;
+    do {
+      if (++tries > kTries) {
+        CannotRun("no free addresses");
+      }
+      this->ChooseAddresses(random(), random(), random(), entry_count,
+                            control_count);
+    } while (!this->AreAddressesFree());
     for (std::size_t i = 0; i < this->controls.size() && i < 3; ++i) {
       this->seeds += (i == 0 ? "" : ",") + this->controls[i].str();
     }
@@ -671,6 +662,50 @@
   Place list_place;
 
  private:
+  void ChooseAddresses(unsigned first,
+                       unsigned second,
+                       unsigned port,
+                       int entry_count,
+                       int control_count) {
+    this->net = Text("127.%u.%u.", 64 + first % 128, second % 250);
+    this->front_port = 21000 + static_cast<int>(port % 9000);
+    this->ready_port = this->front_port + 1;
+    this->control_port = this->front_port + 2;
+    this->internal_port = this->front_port + 4;
+    this->list_place = {this->net + "250", this->front_port + 3};
+    this->controls.clear();
+    for (int i = 0; i < control_count; ++i) {
+      this->controls.push_back(
+          {this->net + std::to_string(1 + i), this->control_port});
+    }
+    this->entries.clear();
+    for (int i = 0; i < entry_count; ++i) {
+      this->entries.push_back(
+          {this->net + std::to_string(20 + i), this->front_port});
+    }
+  }
+
+  bool AreAddressesFree() const {
+    std::vector<Place> places = {this->list_place};
+    for (const Place& control : this->controls) {
+      places.push_back(control);
+      places.push_back({control.ip, this->internal_port});
+    }
+    for (const Place& entry : this->entries) {
+      places.push_back(entry);
+      places.push_back({entry.ip, this->ready_port});
+      places.push_back({entry.ip, this->internal_port});
+      places.push_back({entry.ip, this->internal_port + 1});
+    }
+    return std::all_of(places.begin(), places.end(), [](const Place& place) {
+      const int fd = OpenListener(place);
+      if (fd >= 0) {
+        ::close(fd);
+      }
+      return fd >= 0;
+    });
+  }
+
   void ReadDeployFile() {
     std::ifstream file("deploy/system.toml");
     std::string line;
