--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -8,6 +8,6 @@
   review/9/driver.cc review/10/driver.cc; do
   [ -f "$source" ] || continue
   number=$(basename "$(dirname "$source")")
-  g++ -std=c++20 -O1 -Wall -Wextra -pthread -I review/common-2 "$source" \
+  g++ -std=c++20 -O1 -Wall -Wextra -pthread -I review/stand-ins "$source" \
     -o "target/review-2/case$number"
 done
--- a/review/common-2/run.sh
+++ b/review/stand-ins/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Runs the driver of one case: common-2/run.sh N. Exits with 1 if the rule was
+# Runs the driver of one case: stand-ins/run.sh N. Exits with 1 if the rule was
 # broken, 0 if it held, 2 if the case could not run. With TROUBLE=0 the driver
 # leaves the disruption out. With LOGS=FOLDER the programs' logs are kept there.
 set -u
--- a/review/common-2/system.h
+++ b/review/stand-ins/system.h
@@ -3,8 +3,8 @@
 // platform's list, the searchers, the operator and the clients. Standard
 // library and POSIX only. An exit code of 2 means that a case could not run.
 
-#ifndef REVIEW_COMMON_2_SYSTEM_H_
-#define REVIEW_COMMON_2_SYSTEM_H_
+#ifndef REVIEW_STAND_INS_SYSTEM_H_
+#define REVIEW_STAND_INS_SYSTEM_H_
 
 #include <arpa/inet.h>
 #include <fcntl.h>
@@ -840,4 +840,4 @@
 
 }  // namespace review2
 
-#endif  // REVIEW_COMMON_2_SYSTEM_H_
+#endif  // REVIEW_STAND_INS_SYSTEM_H_
